--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes: `python -m bench NAME`."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,291 @@
+"""A fleet of real processes: platform, targets, fault proxy and daemons."""
+
+import contextlib
+import typing
+
+import attrs
+
+from bench import process
+from hyssopproxy.emulator import backend
+
+SERVICE = "letters"
+
+
+@attrs.define
+class TargetSpec:
+    """A target's stand-in to start."""
+
+    name: str
+    domain: str
+    leaves: int = 1
+    slots: int = 8
+    service_ms: float = 4.0
+    connections: int = 50
+    connect_ms: float = 0.0
+    cold: bool = False
+    address: str = attrs.field(factory=process.free_address)
+    link: str = ""  # the address that daemons use, when a fault proxy stands in between
+
+
+@attrs.define
+class VMSpec:
+    """A daemon to start."""
+
+    vm: str
+    domain: str
+    listen: str = attrs.field(factory=process.free_address)
+    admin: str = attrs.field(factory=process.free_address)
+    peer: str = attrs.field(factory=process.free_address)
+    peer_link: str = ""
+    platform: str = ""  # when not the platform's own address
+    flags: tuple[str, ...] = ()
+
+
+@attrs.define
+class Layout:
+    """What a fleet consists of."""
+
+    domains: tuple[str, ...] = ("d1", "d2", "d3")
+    shards: int = 6
+    replicas: int = 2
+    targets: list[TargetSpec] = attrs.field(factory=list)
+    vms: list[VMSpec] = attrs.field(factory=list)
+    service: dict = attrs.field(factory=dict)  # further tables of the service file
+    action_window_s: float = 4.0
+    stop_grace_s: float = 1.0
+    snapshot: str = "s1"
+    proxied: bool = False  # targets behind the fault proxy
+
+
+def make_layout(
+    targets: int = 3, vms: int = 2, target: dict | None = None, **fields: typing.Any
+) -> Layout:
+    """Return a layout with targets and VMs spread over the failure domains."""
+    layout = Layout(**fields)
+    domains = layout.domains
+    for number in range(targets):
+        domain = domains[number % len(domains)]
+        layout.targets.append(TargetSpec(f"t{number}", domain, **(target or {})))
+    for number in range(vms):
+        layout.vms.append(VMSpec(f"vm{number}", domains[number % len(domains)]))
+    return layout
+
+
+def make_shards(layout: Layout) -> dict[str, list[str]]:
+    """Return the shard map: replicas of a shard stand on successive targets."""
+    shards = {}
+    for number in range(layout.shards):
+        shard = f"s{number:03d}"
+        replicas = []
+        for copy in range(layout.replicas):
+            target = layout.targets[(number + copy) % len(layout.targets)]
+            replicas.append(f"{target.name}/{backend.leaf_of(shard, target.leaves)}")
+        shards[shard] = replicas
+    return shards
+
+
+def make_value(layout: Layout, version: int = 1, out: tuple[str, ...] = ()) -> dict:
+    """Return a configuration value of the layout."""
+    targets = {
+        target.name: {
+            "address": target.link or target.address,
+            "failure_domain": target.domain,
+            "leaves": target.leaves,
+            "slots": target.slots,
+            "connections": target.connections,
+        }
+        for target in layout.targets
+    }
+    snapshot = {"number": 1, "shards": make_shards(layout)}
+    service = {
+        "name": SERVICE,
+        "targets": targets,
+        "snapshots": {layout.snapshot: snapshot},
+        "actions": {"non_idempotent": ["send"]},
+        **layout.service,
+    }
+    vms = {
+        vm.vm: {
+            "address": vm.listen,
+            "peer_address": vm.peer_link or vm.peer,
+            "failure_domain": vm.domain,
+        }
+        for vm in layout.vms
+    }
+    domains = {name: {"state": "out" if name in out else "in"} for name in layout.domains}
+    return {
+        "version": version,
+        "services": {SERVICE: service},
+        "vms": vms,
+        "failure_domains": domains,
+    }
+
+
+class Fleet:
+    """The running processes of a layout."""
+
+    def __init__(self, layout: Layout) -> None:
+        self.layout = layout
+        self.platform_address = process.free_address()
+        self.proxy_address = process.free_address()
+        self.targets: dict[str, process.Process] = {}
+        self.daemons: dict[str, process.Process] = {}
+        self._others: list[process.Process] = []
+        self.value: dict = {}
+
+    def start(self) -> None:
+        """Start everything and wait until each daemon is ready."""
+        self._others.append(
+            process.Process.start(
+                "hyssopproxy.emulator.platform", "--listen", self.platform_address
+            )
+        )
+        self._others.append(
+            process.Process.start(
+                "hyssopproxy.emulator.faultproxy", "--control", self.proxy_address
+            )
+        )
+        for target in self.layout.targets:
+            self.start_target(target)
+        for target in self.layout.targets:
+            process.wait_for(lambda t=target: self.report(t.name), "a target")
+        process.wait_for(lambda: self.platform(), "the platform")
+        if self.layout.proxied:
+            for target in self.layout.targets:
+                target.link = self.add_link(target.name, target.address)
+        self.publish(make_value(self.layout))
+        for vm in self.layout.vms:
+            self.start_daemon(vm)
+        for vm in self.layout.vms:
+            self.wait_ready(vm)
+
+    def start_target(self, target: TargetSpec) -> None:
+        """Start one target."""
+        flags = [
+            *("--listen", target.address),
+            *("--leaf-count", str(target.leaves)),
+            *("--slots", str(target.slots)),
+            *("--service-ms", str(target.service_ms)),
+            *("--connect-ms", str(target.connect_ms)),
+            *("--seed", str(len(self.targets) + 1)),
+        ]
+        if target.cold:
+            flags.append("--cold")
+        started = process.Process.start("hyssopproxy.emulator.backend", *flags)
+        self.targets[target.name] = started
+
+    def start_daemon(self, vm: VMSpec) -> None:
+        """Start one daemon."""
+        self.daemons[vm.vm] = process.Process.start(
+            "hyssopproxy.daemon",
+            *("--vm", vm.vm),
+            *("--failure-domain", vm.domain),
+            *("--listen", vm.listen),
+            *("--admin", vm.admin),
+            *("--peer", vm.peer),
+            *("--platform", vm.platform or self.platform_address),
+            *("--action-window-s", str(self.layout.action_window_s)),
+            *("--stop-grace-s", str(self.layout.stop_grace_s)),
+            *("--seed", "7"),
+            *vm.flags,
+        )
+
+    def wait_ready(self, vm: VMSpec) -> None:
+        """Wait until a daemon says that it is ready."""
+        url = f"http://{vm.listen}/readyz"
+        started = self.daemons[vm.vm].popen
+        process.wait_for(
+            lambda: started.poll() is not None or process.call(url)[0] == 200,
+            f"{vm.vm} to be ready",
+        )
+        if started.poll() is not None:
+            raise RuntimeError(f"{vm.vm} ended with {started.poll()}")
+
+    def wait_settled(self) -> None:
+        """Wait until the daemons hear each other and run actions."""
+        for vm in self.layout.vms:
+            process.wait_for(lambda vm=vm: self._is_settled(vm), f"{vm.vm} to settle")
+
+    def _is_settled(self, vm: VMSpec) -> bool:
+        state = self.state(vm)
+        heard = [peer for peer in state["peers"] if (peer["heard_s"] or 99.0) < 4.0]
+        is_old = state["age_s"] > self.layout.action_window_s
+        return is_old and len(heard) >= len(self.layout.vms) - 1
+
+    def publish(self, value: dict) -> None:
+        """Let the platform publish a value."""
+        self.value = value
+        self.platform({"value": value})
+
+    def republish(self, out: tuple[str, ...] = ()) -> int:
+        """Publish the layout anew under the next version and return it."""
+        version = self.value["version"] + 1
+        self.publish(make_value(self.layout, version, out))
+        return version
+
+    def platform(self, told: dict | None = None) -> dict:
+        """Tell the platform's stand-in something, or read its report."""
+        return process.call(f"http://{self.platform_address}/control", told)[1]
+
+    def tell(self, target: str, **told: typing.Any) -> None:
+        """Change a target's behaviour."""
+        process.call(f"http://{self._address(target)}/control", told)
+
+    def report(self, target: str) -> dict:
+        """Return a target's ledger."""
+        return process.call(f"http://{self._address(target)}/control")[1]
+
+    def reports(self) -> list[dict]:
+        """Return the ledgers of all targets."""
+        return [self.report(target.name) for target in self.layout.targets]
+
+    def _address(self, name: str) -> str:
+        return next(one.address for one in self.layout.targets if one.name == name)
+
+    def add_link(self, name: str, upstream: str) -> str:
+        """Put a fault proxy's link before an address and return the address of the link."""
+        listen = process.free_address()
+        told = {"listen": listen, "upstream": upstream}
+        url = f"http://{self.proxy_address}/links/{name}"
+        process.wait_for(lambda: process.call(url, told)[0] == 200, f"link {name}")
+        return listen
+
+    def disturb(self, link: str, **faults: typing.Any) -> None:
+        """Change what a link does."""
+        process.call(f"http://{self.proxy_address}/links/{link}", faults)
+
+    def state(self, vm: VMSpec) -> dict:
+        """Return a daemon's dump."""
+        return process.call(f"http://{vm.admin}/state")[1]
+
+    def states(self) -> list[dict]:
+        """Return all daemons' dumps."""
+        return [self.state(vm) for vm in self.layout.vms]
+
+    def search(self, vm: VMSpec, timeout_ms: int = 1000, **body: typing.Any):
+        """Return status, body and headers of one search."""
+        url = f"http://{vm.listen}/v1/services/{SERVICE}/search"
+        headers = {"Request-Timeout-Ms": str(timeout_ms)}
+        return process.call(url, {"query": "q", **body}, headers)
+
+    def act(self, vm: VMSpec, key: str, timeout_ms: int = 2000, **body: typing.Any):
+        """Return status, body and headers of one action."""
+        url = f"http://{vm.listen}/v1/services/{SERVICE}/actions"
+        headers = {"Idempotency-Key": key, "Request-Timeout-Ms": str(timeout_ms)}
+        return process.call(url, {"action": "send", **body}, headers)
+
+    def close(self) -> None:
+        """End every process that this fleet started."""
+        for started in [*self.daemons.values(), *self.targets.values(), *self._others]:
+            started.kill()
+
+
+@contextlib.contextmanager
+def running(layout: Layout) -> typing.Iterator[Fleet]:
+    """Run a fleet for the time of a block."""
+    fleet = Fleet(layout)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.close()
--- /dev/null
+++ b/hyssopproxy/__init__.py
@@ -0,0 +1,3 @@
+"""A query tier over many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/hyssopproxy/client.py
@@ -0,0 +1,58 @@
+"""HTTP client of the daemons, for the command-line tool."""
+
+import asyncio
+import typing
+import uuid
+
+import aiohttp
+import msgspec
+
+from hyssopproxy import problem
+
+TIMEOUT_S = 30.0
+
+
+async def search(
+    address: str, service: str, query: typing.Any, limit: int | None, timeout_ms: int | None
+) -> tuple[int, dict]:
+    """Return status and body of one search."""
+    body = {"query": query} | ({} if limit is None else {"limit": limit})
+    headers = {} if timeout_ms is None else {"Request-Timeout-Ms": str(timeout_ms)}
+    return await _post(f"http://{address}/v1/services/{service}/search", body, headers)
+
+
+async def act(
+    address: str, service: str, body: dict, key: str | None, timeout_ms: int | None
+) -> tuple[int, dict]:
+    """Return status and body of one action; a key is made when there is none."""
+    headers = {"Idempotency-Key": key or uuid.uuid4().hex}
+    if timeout_ms is not None:
+        headers["Request-Timeout-Ms"] = str(timeout_ms)
+    return await _post(f"http://{address}/v1/services/{service}/actions", body, headers)
+
+
+async def read_state(address: str) -> dict:
+    """Return the dump of a daemon by its operators' address."""
+    return (await _call("GET", f"http://{address}/state", None, {}))[1]
+
+
+async def read_states(addresses: list[str]) -> list[dict | str]:
+    """Return the dumps of several daemons; a text says why one could not be had."""
+    found = await asyncio.gather(*map(read_state, addresses), return_exceptions=True)
+    return [str(one) if isinstance(one, BaseException) else one for one in found]
+
+
+async def _post(url: str, body: dict, headers: dict) -> tuple[int, dict]:
+    headers = {"Content-Type": "application/json", **headers}
+    return await _call("POST", url, msgspec.json.encode(body), headers)
+
+
+async def _call(method: str, url: str, body: bytes | None, headers: dict) -> tuple[int, dict]:
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.request(method, url, data=body, headers=headers) as response:
+                return response.status, msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as error:
+        remedy = "check the address and that the daemon runs there"
+        raise problem.UserError([f"{url}: {error or type(error).__name__}: {remedy}"]) from None
--- /dev/null
+++ b/hyssopproxy/config.py
@@ -0,0 +1,78 @@
+"""Published configuration values: pure decoding and checking, alike on every daemon."""
+
+import attrs
+import msgspec
+
+from hyssopproxy import address
+from hyssopproxy import model
+from hyssopproxy import option
+from hyssopproxy import servicefile
+
+
+@attrs.frozen
+class Rejected:
+    """Sentinel for a value that is not accepted, with every reason."""
+
+    reasons: tuple[str, ...]
+
+
+def decode(blob: bytes) -> model.Config | Rejected:
+    """Return the configuration in a published value, or why it is rejected whole.
+
+    >>> decode(b"{").reasons[0][:9]
+    'not JSON:'
+    """
+    if len(blob) > model.MAX_CONFIG_BYTES:
+        return Rejected((f"{len(blob)} bytes: publish at most {model.MAX_CONFIG_BYTES}",))
+    try:
+        value = msgspec.json.decode(blob)
+    except msgspec.DecodeError as error:
+        return Rejected((f"not JSON: {error}: publish the output of hyssopctl collect",))
+    if not isinstance(value, dict):
+        return Rejected(("no JSON object: publish the output of hyssopctl collect",))
+    faults: list[str] = []
+    top = option.Section("value", value, faults)
+    version = top.whole("version", None, 1, 1 << 53)
+    services = _read_services(top)
+    domains, out = _read_domains(top)
+    vms = _read_vms(top)
+    if faults:
+        return Rejected(tuple(faults))
+    return model.Config(version, services, vms, out, domains)
+
+
+def _read_services(top: option.Section) -> dict[str, model.Service]:
+    services = {}
+    for name, section in top.sections("services").items():
+        service = servicefile.parse(section.table, f"service {name}", top.faults)
+        if service.name != name:
+            section.fault("name", service.name, f"give the key's name, {name!r}")
+        services[name] = service
+    return services
+
+
+def _read_domains(top: option.Section) -> tuple[frozenset[str], frozenset[str]]:
+    out = set()
+    sections = top.sections("failure_domains")
+    for name, section in sections.items():
+        if section.choice("state", "in", ("in", "out")) == "out":
+            out.add(name)
+    return frozenset(sections), frozenset(out)
+
+
+def _read_vms(top: option.Section) -> dict[str, model.VM]:
+    vms = {}
+    for name, section in top.sections("vms").items():
+        places = {}
+        for key in ("address", "peer_address"):
+            places[key] = section.text(key)
+            parsed = address.parse(places[key])
+            if isinstance(parsed, address.BadAddress):
+                section.fault(key, places[key], parsed.reason)
+        vms[name] = model.VM(
+            id=name,
+            failure_domain=section.text("failure_domain"),
+            leaving=section.choice("state", "live", ("live", "leaving")) == "leaving",
+            **places,
+        )
+    return vms
--- /dev/null
+++ b/hyssopproxy/configuration.py
@@ -0,0 +1,149 @@
+"""Accepts configuration values whole or not at all; versions only rise."""
+
+import zlib
+
+from hyssopproxy import config as configs
+from hyssopproxy import effect
+from hyssopproxy import model
+from hyssopproxy import quantile
+from hyssopproxy import state as states
+from hyssopproxy import target as targets
+from hyssopproxy.policy import registry
+
+ROSTERS_KEPT = 50
+RETRY_TOKENS = 10.0  # lets a service with little traffic retry
+
+
+def accept(state: states.State, blob: bytes, now: float, out: list) -> bool:
+    """Put a value into force when it is valid and newer; return whether it was."""
+    config = configs.decode(blob)
+    if isinstance(config, configs.Rejected):
+        _reject(state, config, out)
+        return False
+    old = state.config
+    if old is not None and config.version <= old.version:
+        state.counters["config_not_newer"] += config.version < old.version
+        return False
+    if old is not None and now - state.fresh_at >= state.action_window_s / 2:
+        state.settled_at = now + state.action_window_s  # versions between may have moved keys
+    state.config = config
+    state.blob = blob
+    state.packed = zlib.compress(blob)
+    state.rejected = ""
+    _note_roster(state, config, now)
+    _build_services(state, config, is_first=old is None, now=now, out=out)
+    _note_domains(state, old, now, out)
+    state.counters["config_accepted"] += 1
+    out.append(effect.Log("config_accepted", {"version": config.version}))
+    return True
+
+
+def _reject(state: states.State, rejected: configs.Rejected, out: list) -> None:
+    state.counters["config_rejected"] += 1
+    reasons = "; ".join(rejected.reasons)
+    if reasons != state.rejected:
+        out.append(effect.Log("config_rejected", {"reasons": reasons}))
+    state.rejected = reasons
+
+
+def _note_roster(state: states.State, config: model.Config, now: float) -> None:
+    """Keep the list of VMs that share; those leaving or in a domain that is out keep no key."""
+    vms = tuple(sorted(config.vms))
+    owners = tuple(
+        vm
+        for vm in vms
+        if not config.vms[vm].leaving and config.vms[vm].failure_domain not in config.domains_out
+    )
+    if state.rosters and (vms, owners) == (state.rosters[-1].vms, state.rosters[-1].owners):
+        return
+    state.rosters.append(states.Roster(vms, owners, now))
+    del state.rosters[:-ROSTERS_KEPT]
+
+
+def _build_services(
+    state: states.State, config: model.Config, is_first: bool, now: float, out: list
+) -> None:
+    old_targets = state.targets
+    state.targets = {}
+    services = {}
+    for name, spec in config.services.items():
+        service = _make_service(state.services.get(name), spec)
+        for target in spec.targets.values():
+            known = old_targets.get(target.address)
+            built = _make_target(known, target, service)
+            service.targets[target.name] = built
+            state.targets[target.address] = built
+            if known is None and not is_first:
+                targets.set_cold(state, built, "new", now, out)
+        service.routes = [_make_route(service, snapshot) for snapshot in spec.snapshots]
+        services[name] = service
+    state.services = services
+
+
+def _make_service(known: states.Service | None, spec: model.Service) -> states.Service:
+    service = states.Service(
+        spec=spec,
+        hedge=registry.HEDGES[spec.hedge](),
+        wait=registry.WAITS[spec.wait](),
+        replica=registry.REPLICAS[spec.replica](),
+        hedges=quantile.Budget(spec.hedge_percent / 100),
+        retries=quantile.Budget(spec.retry_percent / 100, RETRY_TOKENS),
+    )
+    if known is not None:
+        service.hedges.tokens = min(known.hedges.tokens, service.hedges.cap)
+        service.retries.tokens = known.retries.tokens
+        service.gone = known.gone
+        service.usual = known.usual
+        if known.spec.hedge_percent == spec.hedge_percent:
+            service.quantiles = known.quantiles
+    return service
+
+
+def _make_target(
+    known: states.Target | None, spec: model.Target, service: states.Service
+) -> states.Target:
+    target = known or states.Target(spec, service)
+    if known is not None and known.service.spec.limit != service.spec.limit:
+        target.leaves = []
+    target.spec = spec
+    target.service = service
+    for index in range(len(target.leaves), spec.leaves):
+        limit = registry.LIMITS[service.spec.limit]()
+        target.leaves.append(states.Leaf(target, index, limit))
+    return target
+
+
+def _make_route(service: states.Service, snapshot: model.Snapshot) -> states.Route:
+    shards = {}
+    for shard, replicas in snapshot.shards.items():
+        leaves = [service.targets[replica.target].leaves[replica.leaf] for replica in replicas]
+        shards[shard] = tuple(leaves)
+    return states.Route(snapshot, shards)
+
+
+def _note_domains(state: states.State, old: model.Config | None, now: float, out: list) -> None:
+    """Targets of a domain that returns are cold; the own domain's state sets /readyz."""
+    was_out = old.domains_out if old else frozenset()
+    is_out = state.config.domains_out
+    for target in state.targets.values():
+        domain = target.spec.failure_domain
+        if domain in was_out and domain not in is_out:
+            targets.set_cold(state, target, "domain_back", now, out)
+    home = state.identity.failure_domain
+    if home not in is_out:
+        state.out_since = None
+    elif state.out_since is None:
+        state.out_since = now
+    for domain in sorted(is_out ^ was_out):
+        change = "domain_out" if domain in is_out else "domain_back"
+        out.append(effect.Log(change, {"failure_domain": domain}))
+
+
+def note_cold(state: states.State, addresses: tuple[str, ...], now: float, out: list) -> None:
+    """Take in a peer's word that targets turned cold just now."""
+    for address in addresses:
+        target = state.targets.get(address)
+        if target is None or target.is_cold or now - target.cold_heard_at < targets.COLD_WORD_S:
+            continue
+        target.cold_heard_at = now
+        targets.set_cold(state, target, "peer", now, out)
--- /dev/null
+++ b/hyssopproxy/daemon.py
@@ -0,0 +1,142 @@
+"""The daemon hyssopproxyd."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+import time
+
+import defopt
+import structlog
+
+from hyssopproxy import event
+from hyssopproxy import peerlink
+from hyssopproxy import problem
+from hyssopproxy import runtime as runtimes
+from hyssopproxy import server
+from hyssopproxy import settings as all_settings
+from hyssopproxy import state as states
+
+GC_THRESHOLD = 50_000  # allocations between collections; fewer collections, shorter tails
+
+
+def main() -> None:
+    """Run hyssopproxyd."""
+    defopt.run(run, argv=sys.argv[1:], cli_options="all", no_negated_flags=True)
+
+
+def run(
+    *,
+    vm: str | None = None,
+    failure_domain: str | None = None,
+    listen: str | None = None,
+    admin: str | None = None,
+    peer: str | None = None,
+    platform: str | None = None,
+    peer_key: str | None = None,
+    seeds: str | None = None,
+    action_window_s: str | None = None,
+    stop_grace_s: str | None = None,
+    seed: str | None = None,
+) -> None:
+    """Answer searches over many shards.
+
+    Each flag may be given as an environment variable instead: HYSSOPPROXY_VM for --vm.
+
+    :param vm: name of this VM, as published
+    :param failure_domain: failure domain of this VM
+    :param listen: IP:PORT for callers
+    :param admin: IP:PORT for operators; 127.0.0.1:9090 if absent
+    :param peer: IP:PORT for the other daemons
+    :param platform: IP:PORT of the platform's configuration service
+    :param peer_key: the fleet's secret key, from hyssopctl key
+    :param seeds: peers to ask while the platform is down, IP:PORT,IP:PORT
+    :param action_window_s: seconds in which a caller may repeat an Idempotency-Key
+    :param stop_grace_s: seconds from SIGTERM until no more connections are taken
+    :param seed: seed of the random generator; 0 for one of the machine's
+    """
+    flags = dict(locals())
+    try:
+        settings = all_settings.read(flags, os.environ)
+    except problem.UserError as error:
+        print(f"hyssopproxyd: the settings are refused:\n{error}", file=sys.stderr)
+        raise SystemExit(2) from None
+    configure_logs()
+    sys.exit(asyncio.run(serve(settings)))
+
+
+def configure_logs() -> None:
+    """Write one JSON object a line to standard error."""
+    structlog.configure(
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def make_state(settings: all_settings.Settings) -> states.State:
+    """Return the state of a daemon that starts now."""
+    rng = random.Random(settings.seed or None)
+    identity = states.Identity(
+        vm=settings.vm,
+        failure_domain=settings.failure_domain,
+        peer_address=f"{settings.peer.host}:{settings.peer.port}",
+        incarnation=time.time_ns() // 1000,
+    )
+    return states.State(
+        identity=identity,
+        rng=rng,
+        started_at=time.monotonic(),
+        action_window_s=settings.action_window_s,
+        stop_grace_s=settings.stop_grace_s,
+        seeds=settings.seeds,
+    )
+
+
+async def serve(settings: all_settings.Settings) -> int:
+    """Serve until a signal; return the exit status."""
+    state = make_state(settings)
+    try:
+        link = peerlink.PeerLink(state.identity.peer_address, settings.peer_key, state.counters)
+    except OSError as error:
+        print(f"hyssopproxyd: --peer {settings.peer}: {error}: give a free port", file=sys.stderr)
+        return 2
+    runtime = runtimes.Runtime(state, link, settings.platform)
+    endpoints = server.Endpoints(runtime)
+    servers = [
+        server.make_server(endpoints.operator_app(), settings.admin.host, settings.admin.port),
+        server.make_server(endpoints.caller_app(), settings.listen.host, settings.listen.port),
+    ]
+    _watch_signals(runtime, servers)
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 20, 50)
+    runtime.start()
+    serving = [asyncio.create_task(one.serve()) for one in servers]
+    stop = asyncio.create_task(runtime.stopped.wait())
+    await asyncio.wait([stop, *serving], return_when=asyncio.FIRST_COMPLETED)
+    for one in servers[::-1]:
+        one.should_exit = True
+    results = await asyncio.gather(*serving, return_exceptions=True)
+    await runtime.close()
+    return 2 if any(isinstance(result, BaseException) for result in results) else 0
+
+
+def _watch_signals(runtime: runtimes.Runtime, servers: list[server.Server]) -> None:
+    """SIGTERM and SIGINT stop gracefully; a second one ends at once."""
+
+    def handle() -> None:
+        if runtime.state.stopping_at is not None:
+            os._exit(1)
+        runtime.post(event.StopRequested())
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hyssopproxy/dispatch.py
@@ -0,0 +1,178 @@
+"""Sends the sub-searches of searches to leaves: first requests, hedges, retries, waiters."""
+
+from hyssopproxy import effect
+from hyssopproxy import snapshot
+from hyssopproxy import state as states
+from hyssopproxy import target
+from hyssopproxy import wire
+
+MIN_WAKE_S = 0.001  # shortest sleep between two decisions of a search
+SEND_GRACE_S = 0.05  # a send later than this after its decision is judged anew
+READ_GRACE_S = 0.25  # past the deadline, for a target's own "expired" lines
+Verdict = target.Verdict
+
+
+def pick(
+    state: states.State, query: states.Query, shard: str, now: float
+) -> tuple[states.Leaf | None, Verdict]:
+    """Return a leaf with room for the shard; the verdict tells why there is none.
+
+    Leaves of the own failure domain go first.
+    """
+    near: list[states.Leaf] = []
+    far: list[states.Leaf] = []
+    verdict = Verdict.BACKED_OFF
+    backed_off = []
+    tried = query.tried.get(shard, ())
+    name = query.route.snapshot.name
+    home = state.identity.failure_domain
+    for leaf in query.route.shards[shard]:
+        if leaf in tried or snapshot.is_gone(query.service, name, leaf):
+            continue
+        judged = target.judge(state, leaf, now)
+        if judged is Verdict.ROOM:
+            tier = near if leaf.target.spec.failure_domain == home else far
+            tier.append(leaf)
+        elif judged is Verdict.BACKED_OFF:
+            backed_off.append(leaf)
+        elif verdict is not Verdict.FULL:
+            verdict = judged
+    if near or far:
+        query.service.turn += 1
+        return query.service.replica.choose(near or far, query.service.turn), Verdict.ROOM
+    if backed_off and verdict is Verdict.BACKED_OFF:
+        probe = target.find_probe(backed_off, now)
+        return probe, Verdict.ROOM if probe else verdict
+    return None, verdict
+
+
+def send(
+    state: states.State,
+    query: states.Query,
+    shard: str,
+    leaf: states.Leaf,
+    now: float,
+    is_hedge: bool = False,
+) -> None:
+    """Put a sub-search into the outbox of its target."""
+    number = state.next_number()
+    sub = states.Sub(
+        id=f"{state.identity.vm}.{state.identity.incarnation}.{number}",
+        query=query,
+        attempt=query.attempt,
+        shard=shard,
+        leaf=leaf,
+        request_no=0,
+        snapshot=query.route.snapshot.name,
+        sent_at=now,
+        is_hedge=is_hedge,
+    )
+    leaf.in_flight += 1
+    query.waiting.discard(shard)
+    query.outstanding.setdefault(shard, []).append(sub)
+    query.tried.setdefault(shard, []).append(leaf)
+    state.outbox.setdefault(leaf.target.spec.address, []).append(sub)
+    if not is_hedge:
+        query.service.hedges.earn(1)
+        query.service.retries.earn(1)
+
+
+def wait(state: states.State, query: states.Query, shard: str, now: float) -> None:
+    """Let a shard wait for room at each leaf that may serve it."""
+    query.waiting.add(shard)
+    waiter = states.Waiter(query, query.attempt, shard)
+    for leaf in query.route.shards[shard]:
+        judged = target.judge_target(state, leaf.target, now)
+        if judged in (Verdict.ROOM, Verdict.BACKED_OFF):
+            leaf.waiting.append(waiter)
+
+
+def serve_waiting(state: states.State, leaf: states.Leaf, now: float) -> None:
+    """Send waiting shards while the leaf has room."""
+    while leaf.waiting:
+        waiter = leaf.waiting[0]
+        if not _is_current(state, waiter):
+            leaf.waiting.popleft()
+            continue
+        if target.judge(state, leaf, now) is not Verdict.ROOM:
+            return
+        leaf.waiting.popleft()
+        query = waiter.query
+        if not snapshot.is_gone(query.service, query.route.snapshot.name, leaf):
+            send(state, query, waiter.shard, leaf, now)
+
+
+def _is_current(state: states.State, waiter: states.Waiter) -> bool:
+    query = waiter.query
+    if query.number not in state.queries or query.attempt != waiter.attempt:
+        return False
+    return waiter.shard in query.waiting
+
+
+def release(state: states.State, sub: states.Sub, now: float) -> None:
+    """Take a sub-search out of flight and give its room to a waiter."""
+    sub.leaf.in_flight -= 1
+    subs = sub.query.outstanding.get(sub.shard)
+    if subs and sub in subs:
+        subs.remove(sub)
+        if not subs:
+            del sub.query.outstanding[sub.shard]
+    serve_waiting(state, sub.leaf, now)
+
+
+def abandon(state: states.State, subs: list[states.Sub], now: float) -> None:
+    """Drop interest in sub-searches; their targets hear it in one cancel call each."""
+    for sub in subs:
+        if sub.is_abandoned:
+            continue
+        sub.is_abandoned = True
+        state.counters["sub_searches_cancelled"] += 1
+        target.record_overdue(sub.leaf, now - sub.sent_at)
+        address = sub.leaf.target.spec.address
+        state.cancels.setdefault(address, []).append((sub.id, sub.shard))
+
+
+def flush(state: states.State, now: float, out: list) -> None:
+    """Turn the outbox into one request for each target."""
+    for address, subs in state.outbox.items():
+        out.append(_make_request(state, address, subs, now))
+    for address, items in state.cancels.items():
+        out.append(effect.SendCancel(address, tuple(items)))
+    state.outbox = {}
+    state.cancels = {}
+
+
+def _make_request(
+    state: states.State, address: str, subs: list[states.Sub], now: float
+) -> effect.SendSearch:
+    number = state.next_number()
+    place = subs[0].leaf.target
+    state.requests[number] = states.Request(number, place, {sub.id: sub for sub in subs}, now)
+    place.requests += 1
+    state.counters["target_requests"] += 1
+    state.counters["sub_searches"] += len(subs)
+    searches = []
+    longest = 0.0
+    for sub in subs:
+        sub.request_no = number
+        left = sub.query.deadline - now
+        longest = max(longest, left)
+        searches.append(
+            wire.SubSearch(
+                request_id=sub.id,
+                timeout_ms=max(1, int(left * 1000)),
+                snapshot=sub.snapshot,
+                shard=sub.shard,
+                query=sub.query.text,
+                limit=sub.query.limit,
+            )
+        )
+    return effect.SendSearch(
+        request_no=number,
+        address=address,
+        connections=target.connection_share(state, place, now),
+        searches=tuple(searches),
+        flush_interval_ms=place.service.spec.flush_interval_ms,
+        not_after=now + SEND_GRACE_S,
+        timeout_s=longest + READ_GRACE_S,
+    )
--- /dev/null
+++ b/hyssopproxy/emulator/http.py
@@ -0,0 +1,39 @@
+"""What the stand-ins share: serving an application and reading JSON."""
+
+import typing
+
+import msgspec
+import starlette.applications
+import starlette.requests
+import starlette.responses
+import uvicorn
+
+from hyssopproxy import address
+
+
+def serve(app: starlette.applications.Starlette, place: str) -> None:
+    """Serve until a signal."""
+    parsed = address.parse(place)
+    uvicorn.run(
+        app,
+        host=parsed.host,
+        port=parsed.port,
+        http="httptools",
+        loop="asyncio",
+        ws="none",
+        lifespan="off",
+        log_level="critical",
+        access_log=False,
+        timeout_graceful_shutdown=1,
+    )
+
+
+async def read_json(request: starlette.requests.Request) -> typing.Any:
+    """Return the JSON body."""
+    return msgspec.json.decode(await request.body())
+
+
+def respond(value: typing.Any, status: int = 200) -> starlette.responses.Response:
+    """Return a JSON response."""
+    body = msgspec.json.encode(value)
+    return starlette.responses.Response(body, status, media_type="application/json")
--- /dev/null
+++ b/hyssopproxy/fleet.py
@@ -0,0 +1,168 @@
+"""What the daemons tell each other: pings, fresh words, the newest configuration."""
+
+import zlib
+
+from hyssopproxy import configuration
+from hyssopproxy import effect
+from hyssopproxy import message
+from hyssopproxy import model
+from hyssopproxy import share
+from hyssopproxy import state as states
+
+PING_S = 1.0  # between two pings of a daemon in the own failure domain
+FAR_PING_S = 5.0  # to the other failure domains while the platform's word is fresh
+WORD_S = 2.5  # a word older than this moves no work to another failure domain
+LOST_WORD_S = 1.5  # a platform word older than this makes pings go to all domains each time
+PEER_LOST_S = 5.0
+ROUND_TRIP_MAX_S = 1.0  # a pong later than this brings no news of targets
+SPREAD = 4  # daemons that hear of a new version at once
+READERS = 2  # daemons of a failure domain that watch the platform
+
+
+def has_word(state: states.State, domain: str, now: float) -> bool:
+    """Return whether work may go to another failure domain: the platform or a peer there spoke."""
+    if now - state.fresh_at <= WORD_S:
+        return True
+    return any(
+        peer.failure_domain == domain and now - peer.heard_at <= WORD_S
+        for peer in state.peers.values()
+    )
+
+
+def is_reader(state: states.State, now: float) -> bool:
+    """Return whether this daemon is one of its failure domain's readers of the platform."""
+    me = state.identity
+    mine = share.score("reader", me.vm)
+    ahead = 0
+    for peer in state.peers.values():
+        if peer.failure_domain != me.failure_domain or now - peer.heard_at > PEER_LOST_S:
+            continue
+        ahead += (share.score("reader", peer.vm), peer.vm) > (mine, me.vm)
+    return ahead < READERS
+
+
+def make_word(state: states.State, now: float) -> message.Word:
+    """Return this daemon's own word."""
+    me = state.identity
+    is_known = state.fresh_at != states.NEVER
+    return message.Word(
+        vm=me.vm,
+        address=me.peer_address,
+        failure_domain=me.failure_domain,
+        incarnation=me.incarnation,
+        version=state.config.version if state.config else 0,
+        fresh_age_ms=int((now - state.fresh_at) * 1000) + 1 if is_known else -1,
+        is_leaving=state.stopping_at is not None,
+        cold=tuple(state.cold_news),
+    )
+
+
+def handle_tick(state: states.State, now: float, out: list) -> None:
+    """Ping a few daemons when it is time."""
+    if now < state.next_ping_at:
+        return
+    state.next_ping_at = now + PING_S * (0.75 + 0.5 * state.rng.random())
+    for address in _choose_to_ping(state, now):
+        _ping(state, address, now, out)
+    state.cold_news.clear()
+
+
+def _ping(state: states.State, address: str, now: float, out: list) -> None:
+    state.counters["pings"] += 1
+    out.append(effect.SendPeer(address, message.Ping(make_word(state, now), now)))
+
+
+def _choose_to_ping(state: states.State, now: float) -> list[str]:
+    """Return one reader and one other of the own domain, and one of each other domain in turn."""
+    if state.config is None:
+        return list(state.seeds)
+    domains: dict[str, list[model.VM]] = {}
+    for vm in state.config.vms.values():
+        if vm.id != state.identity.vm:
+            domains.setdefault(vm.failure_domain, []).append(vm)
+    near = domains.pop(state.identity.failure_domain, [])
+    near.sort(key=lambda vm: -share.score("reader", vm.id))
+    chosen = [state.rng.choice(near[:READERS]), state.rng.choice(near)] if near else []
+    is_lost = now - state.fresh_at > LOST_WORD_S
+    for vms in domains.values():
+        if is_lost or state.rng.random() < PING_S / FAR_PING_S:
+            chosen.append(state.rng.choice(vms))
+    if is_lost:
+        chosen.extend(near[: READERS + 1])
+    return list(dict.fromkeys(vm.peer_address for vm in chosen))
+
+
+def spread(state: states.State, now: float, out: list) -> None:
+    """Tell a few random daemons at once, as after a new version."""
+    if state.config is None:
+        return
+    others = [vm for vm in state.config.vms.values() if vm.id != state.identity.vm]
+    for vm in state.rng.sample(others, min(SPREAD, len(others))):
+        _ping(state, vm.peer_address, now, out)
+
+
+def tell_cold(state: states.State, target: states.Target, out: list) -> None:
+    """Put a cold start seen by this daemon into its next words, which go out at once."""
+    state.cold_news.append(target.spec.address)
+    state.next_ping_at = states.NEVER
+
+
+def handle_ping(state: states.State, ping: message.Ping, now: float, out: list) -> None:
+    """Answer a ping; its word may be old, so it only hints at a newer version."""
+    out.append(
+        effect.SendPeer(ping.word.address, message.Pong(make_word(state, now), ping.sent_at))
+    )
+    _compare_version(state, ping.word, out)
+    configuration.note_cold(state, ping.word.cold, now, out)
+
+
+def handle_pong(state: states.State, pong: message.Pong, now: float, out: list) -> None:
+    """Take in a word; its age counts from this daemon's own ping."""
+    word, asked_at = pong.word, pong.sent_at
+    if not asked_at <= now or now - asked_at > PEER_LOST_S:
+        state.counters["pongs_old"] += 1
+        return
+    peer = state.peers.get(word.vm)
+    if peer is None:
+        peer = states.Peer(word.vm, word.address, word.failure_domain)
+        state.peers[word.vm] = peer
+    peer.address = word.address
+    peer.heard_at = max(peer.heard_at, asked_at)
+    peer.version = max(peer.version, word.version)
+    peer.is_leaving = word.is_leaving
+    peer.incarnation = word.incarnation
+    _compare_version(state, word, out)
+    if state.config is not None and word.version == state.config.version and word.fresh_age_ms >= 0:
+        state.fresh_at = max(state.fresh_at, asked_at - word.fresh_age_ms / 1000)
+    if now - asked_at <= ROUND_TRIP_MAX_S:
+        configuration.note_cold(state, word.cold, now, out)
+
+
+def _compare_version(state: states.State, word: message.Word, out: list) -> None:
+    mine = state.config.version if state.config else 0
+    if word.version > mine:
+        want = message.Want(state.identity.peer_address, mine)
+        out.append(effect.SendPeer(word.address, want))
+
+
+def handle_want(state: states.State, want: message.Want, now: float, out: list) -> None:
+    """Pass the accepted value on."""
+    if state.config is None or state.config.version <= want.after:
+        return
+    state.counters["values_passed_on"] += 1
+    value = message.Value(state.config.version, state.packed)
+    out.append(effect.SendPeer(want.address, value))
+
+
+def handle_value(state: states.State, value: message.Value, now: float, out: list) -> None:
+    """Take in a value of a peer; it passes the same check as one of the platform."""
+    if state.config is not None and value.version <= state.config.version:
+        return
+    unpacker = zlib.decompressobj()
+    try:
+        blob = unpacker.decompress(value.blob, model.MAX_CONFIG_BYTES + 1)
+    except zlib.error:
+        state.counters["peer_messages_garbled"] += 1
+        return
+    if configuration.accept(state, blob, now, out):
+        spread(state, now, out)
--- /dev/null
+++ b/hyssopproxy/load.py
@@ -0,0 +1,165 @@
+"""Open-loop load: seeded arrivals at a set rate, latencies counted from the planned arrival."""
+
+import asyncio
+import collections
+import random
+import time
+import typing
+
+import aiohttp
+import attrs
+import msgspec
+
+from hyssopproxy import metric
+
+MAX_LATE_S = 60.0
+READY_POLL_S = 0.1
+
+
+@attrs.define
+class Report:
+    """What a load run saw."""
+
+    sent: int = 0
+    answered: int = 0
+    late: int = 0  # after the deadline plus the grace
+    cut: int = 0  # no whole HTTP answer
+    shards_total: int = 0
+    shards_answered: int = 0
+    refused: collections.Counter = attrs.field(factory=collections.Counter)  # kind -> count
+    missing: collections.Counter = attrs.field(factory=collections.Counter)  # reason -> count
+    latencies: typing.Any = attrs.field(factory=metric.new_histogram)  # of 200s
+    refusals: typing.Any = attrs.field(factory=metric.new_histogram)
+    mixed: int = 0  # answers with hits of another snapshot
+    full: int = 0  # answers with coverage 1
+
+    def summarize(self, seconds: float) -> dict:
+        """Return figures as plain JSON values; latencies in ms."""
+        total = max(1, self.shards_total)
+        return {
+            "sent": self.sent,
+            "answered": self.answered,
+            "goodput_per_s": round(self.answered / seconds, 1),
+            "full": self.full,
+            "coverage": round(self.shards_answered / total, 6),
+            "late": self.late,
+            "cut": self.cut,
+            "mixed": self.mixed,
+            "refused": dict(self.refused),
+            "missing": dict(self.missing),
+            **{f"p{rank:g}_ms": self._read(self.latencies, rank) for rank in (50, 90, 99, 99.9)},
+            "refusal_p99_ms": self._read(self.refusals, 99),
+        }
+
+    def _read(self, histogram: typing.Any, rank: float) -> float:
+        return round(histogram.get_value_at_percentile(rank) / 1000, 2)
+
+
+@attrs.frozen
+class Plan:
+    """What to send."""
+
+    addresses: tuple[str, ...]
+    service: str
+    rate: float  # searches a second
+    seconds: float
+    timeout_ms: int
+    seed: int = 1
+    grace_ms: int = 20  # of the client's own lateness before an answer counts as late
+
+
+class Generator:
+    """Sends searches in turn to the daemons that are ready, as a balancer would."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.report = Report()
+        self._rng = random.Random(plan.seed)
+        self._ready = list(plan.addresses)
+        self._turn = 0
+
+    async def run(self, progress: typing.Callable[[str], None] | None = None) -> Report:
+        """Send everything and return what came back."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            watch = asyncio.create_task(self._watch_ready(session))
+            calls = await self._send_all(session, progress)
+            await asyncio.gather(*calls)
+            watch.cancel()
+        return self.report
+
+    async def _send_all(self, session, progress) -> list[asyncio.Task]:
+        calls = []
+        start = planned = time.monotonic()
+        told = start
+        while planned - start < self.plan.seconds:
+            planned += self._rng.expovariate(self.plan.rate)
+            delay = planned - time.monotonic()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            calls.append(asyncio.create_task(self._search(session, planned)))
+            if progress is not None and planned - told >= 1.0:
+                told = planned
+                progress(f"{planned - start:.0f} s: {self.report.answered} answered")
+        return calls
+
+    def _choose(self) -> str:
+        ready = self._ready or list(self.plan.addresses)
+        self._turn += 1
+        return ready[self._turn % len(ready)]
+
+    async def _watch_ready(self, session: aiohttp.ClientSession) -> None:
+        while True:
+            checks = await asyncio.gather(
+                *(self._is_ready(session, address) for address in self.plan.addresses)
+            )
+            pairs = zip(self.plan.addresses, checks, strict=True)
+            self._ready = [address for address, is_ready in pairs if is_ready]
+            await asyncio.sleep(READY_POLL_S)
+
+    async def _is_ready(self, session: aiohttp.ClientSession, address: str) -> bool:
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with session.get(f"http://{address}/readyz", timeout=timeout) as response:
+                await response.read()
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def _search(self, session: aiohttp.ClientSession, planned: float) -> None:
+        plan, report = self.plan, self.report
+        report.sent += 1
+        url = f"http://{self._choose()}/v1/services/{plan.service}/search"
+        headers = {"Request-Timeout-Ms": str(plan.timeout_ms), "Content-Type": "application/json"}
+        timeout = aiohttp.ClientTimeout(total=MAX_LATE_S)
+        sent_at = time.monotonic()
+        try:
+            async with session.post(
+                url, data=b'{"query": "q"}', headers=headers, timeout=timeout
+            ) as response:
+                body = msgspec.json.decode(await response.read())
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+            report.cut += 1
+            return
+        now = time.monotonic()
+        if (now - sent_at) * 1000 > plan.timeout_ms + plan.grace_ms:
+            report.late += 1
+        if status == 200:
+            self._take_answer(body, now - planned)
+        else:
+            report.refused[f"{body['kind']}/{body['execution']}"] += 1
+            report.refusals.record_value(max(1, int((now - sent_at) * 1e6)))
+
+    def _take_answer(self, body: dict, seconds: float) -> None:
+        report = self.report
+        report.answered += 1
+        report.latencies.record_value(max(1, int(seconds * 1e6)))
+        coverage = body["coverage"]
+        report.shards_total += coverage["shards_total"]
+        report.shards_answered += coverage["shards_answered"]
+        report.full += coverage["shards_total"] == coverage["shards_answered"]
+        for missing in coverage["missing"]:
+            report.missing[missing["reason"]] += 1
+        prefix = body["snapshot"] + ":"
+        report.mixed += any(not hit["id"].startswith(prefix) for hit in body["hits"])
--- /dev/null
+++ b/hyssopproxy/metric.py
@@ -0,0 +1,45 @@
+"""Latency histograms and the Prometheus text of all counters."""
+
+import typing
+
+import hdrh.histogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """HDR histograms by name, in microseconds."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, hdrh.histogram.HdrHistogram] = {}
+
+    def record(self, name: str, seconds: float) -> None:
+        """Take in one duration."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = new_histogram()
+            self._histograms[name] = histogram
+        histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
+
+    def render(self, counters: typing.Mapping[str, int]) -> str:
+        """Return the Prometheus text format."""
+        lines = []
+        for name in sorted(counters):
+            lines.append(f"# TYPE hyssopproxy_{name}_total counter")
+            lines.append(f"hyssopproxy_{name}_total {counters[name]}")
+        for name, histogram in sorted(self._histograms.items()):
+            metric = f"hyssopproxy_{name}_seconds"
+            lines.append(f"# TYPE {metric} summary")
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / 1e6
+                lines.append(f'{metric}{{quantile="{quantile / 100:g}"}} {value:.6f}')
+            lines.append(f"{metric}_count {histogram.total_count}")
+        return "\n".join(lines) + "\n"
+
+
+def new_histogram() -> hdrh.histogram.HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return hdrh.histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
--- /dev/null
+++ b/hyssopproxy/peerlink.py
@@ -0,0 +1,100 @@
+"""Messages between daemons over pyzmq, authenticated by CURVE."""
+
+import typing
+
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from hyssopproxy import message
+
+MAX_MESSAGE_BYTES = 2 << 20
+QUEUED_MESSAGES = 100  # to one peer; more are dropped
+HEARTBEAT_MS = 2000
+HEARTBEAT_TIMEOUT_MS = 4000
+MAX_RECONNECT_MS = 1000
+
+
+class _FleetKey:
+    """Admits only daemons that hold the fleet's own key."""
+
+    def __init__(self, public: bytes) -> None:
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        return key == self._public
+
+
+class PeerLink:
+    """One socket to receive on and one to each peer; what cannot go at once is dropped."""
+
+    def __init__(self, bind: str, secret: str, counters: typing.Any) -> None:
+        self._context = zmq.asyncio.Context()
+        self._secret = secret.encode()
+        self._public = zmq.curve_public(self._secret) if secret else b""
+        self._counters = counters
+        self._senders: dict[str, zmq.asyncio.Socket] = {}
+        self._authenticator = None
+        if secret:
+            self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback("*", _FleetKey(self._public))
+        self._receiver = self._context.socket(zmq.ROUTER)
+        self._receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._receiver.setsockopt(zmq.LINGER, 0)
+        if secret:
+            self._receiver.curve_server = True
+            self._receiver.curve_secretkey = self._secret
+            self._receiver.curve_publickey = self._public
+        self._receiver.bind(f"tcp://{bind}")
+
+    def send(self, address: str, sent: message.Message) -> None:
+        """Send a message, or drop and count it when there is no connection."""
+        sender = self._senders.get(address) or self._connect(address)
+        blob = message.encode(sent)
+        self._counters["peer_messages_sent"] += 1
+        self._counters["peer_bytes_sent"] += len(blob)
+        try:
+            zmq.Socket.send(sender, blob, zmq.NOBLOCK)
+        except zmq.Again:
+            self._counters["peer_messages_dropped"] += 1
+
+    def _connect(self, address: str) -> zmq.asyncio.Socket:
+        sender = zmq.Socket(self._context, zmq.DEALER)
+        sender.setsockopt(zmq.LINGER, 0)
+        sender.setsockopt(zmq.IMMEDIATE, 1)
+        sender.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
+        sender.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
+        sender.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        sender.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        if self._secret:
+            sender.curve_serverkey = self._public
+            sender.curve_secretkey = self._secret
+            sender.curve_publickey = self._public
+        sender.connect(f"tcp://{address}")
+        self._senders[address] = sender
+        return sender
+
+    def forget(self, kept: typing.Container[str]) -> None:
+        """Close the sockets to peers that are not in `kept`."""
+        for address in [known for known in self._senders if known not in kept]:
+            self._senders.pop(address).close()
+
+    async def receive(self) -> message.Message:
+        """Return the next good message; others are dropped and counted."""
+        while True:
+            frames = await self._receiver.recv_multipart()
+            self._counters["peer_messages_received"] += 1
+            self._counters["peer_bytes_received"] += len(frames[-1])
+            received = message.decode(frames[-1]) if len(frames) == 2 else None
+            if received is not None:
+                return received
+            self._counters["peer_messages_garbled"] += 1
+
+    def close(self) -> None:
+        """Close all sockets at once."""
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._receiver.close()
+        self.forget(())
+        self._context.term()
--- /dev/null
+++ b/hyssopproxy/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Interchangeable decisions, each beside a plain baseline."""
--- /dev/null
+++ b/hyssopproxy/problem.py
@@ -0,0 +1,81 @@
+"""Typed refusals: values with a reason, a remedy and what is known of the execution."""
+
+import enum
+
+import attrs
+
+
+class Execution(enum.Enum):
+    """What is known of the work behind a refusal."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Kind(enum.Enum):
+    """Reason of a refusal with its HTTP status and remedy."""
+
+    BAD_REQUEST = (400, "send a JSON object with the fields of the API page")
+    BAD_DEADLINE = (
+        400,
+        "send Request-Timeout-Ms as a whole number from 1 to the service's maximum",
+    )
+    BODY_TOO_LARGE = (413, "shorten the body to the service's limits.body_bytes")
+    UNKNOWN_SERVICE = (404, "name a service of the published configuration")
+    UNKNOWN_ACTION = (404, "name an action listed in the service file")
+    NO_KEY = (400, "send an Idempotency-Key header of 1 to 200 characters")
+    KEY_REUSED = (422, "use a new Idempotency-Key for a different request")
+    NO_CONFIGURATION = (503, "retry at another VM; this one has no configuration yet")
+    NO_SNAPSHOT = (503, "publish a snapshot for the service")
+    OVERLOADED = (503, "retry after Retry-After; the targets bear no more at present")
+    FAILURE_DOMAIN_OUT = (503, "retry at a VM of another failure domain")
+    STOPPING = (503, "retry at another VM; this one is leaving")
+    DEADLINE_EXCEEDED = (504, "retry with a longer Request-Timeout-Ms")
+    COVERAGE_TOO_LOW = (503, "retry later; too few shards answered")
+    CONFIGURATION_STALE = (503, "retry later; this VM has no fresh word of the configuration")
+    OWNER_UNSETTLED = (503, "look up whether the action ran, or repeat the key after Retry-After")
+    OWNER_UNREACHABLE = (503, "look up whether the action ran, or repeat the key after Retry-After")
+    ACTION_SHED = (503, "retry after Retry-After with the same key")
+    ACTION_UNKNOWN = (502, "look up whether the action ran before sending it with a new key")
+
+    def __init__(self, status: int, remedy: str) -> None:
+        self.status = status
+        self.remedy = remedy
+
+
+@attrs.frozen
+class Problem:
+    """One refusal (RFC 9457).
+
+    >>> Problem(Kind.OVERLOADED, "no room", Execution.NOT_RUN).body()["kind"]
+    'overloaded'
+    """
+
+    kind: Kind
+    detail: str
+    execution: Execution = Execution.NOT_RUN
+    retry_after_s: int | None = None
+
+    @property
+    def status(self) -> int:
+        return self.kind.status
+
+    def body(self) -> dict:
+        """Return the members of the problem document."""
+        return {
+            "type": f"urn:hyssopproxy:problem:{self.kind.name.lower()}",
+            "title": self.kind.name.lower().replace("_", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "kind": self.kind.name.lower(),
+            "execution": self.execution.value,
+            "remedy": self.kind.remedy,
+        }
+
+
+class UserError(Exception):
+    """A fault the operator can mend; the message names the remedy."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
--- /dev/null
+++ b/hyssopproxy/search.py
@@ -0,0 +1,414 @@
+"""Searches: admission, hedges, retries, the deadline and the merged answer."""
+
+import heapq
+
+from hyssopproxy import dispatch
+from hyssopproxy import effect
+from hyssopproxy import event
+from hyssopproxy import problem
+from hyssopproxy import snapshot
+from hyssopproxy import state as states
+from hyssopproxy import target
+from hyssopproxy import wire
+
+MARGIN_S = 0.004  # for the way back to the caller
+MARGIN_PART = 0.05  # of the timeout, where that is more
+MAX_MARGIN_PART = 0.4
+MIN_RERUN_S = 0.005
+LONGEST_WAIT_PART = 0.8  # of the time left that a shard may wait for room
+OUT_GRACE_S = 10.0  # an entry VM of a domain that is out serves this long
+OVERLOAD_RETRY_S = 1
+Verdict = target.Verdict
+
+
+def handle_arrived(
+    state: states.State, arrived: event.SearchArrived, now: float, out: list
+) -> None:
+    """Admit a search and send its sub-searches, or refuse it at once."""
+    query = admit(state, arrived, now)
+    if isinstance(query, problem.Problem):
+        state.counters[f"refused_{query.kind.name.lower()}"] += 1
+        out.append(effect.Refuse(arrived.query_no, query))
+        return
+    refusal = _start(state, query, now)
+    if refusal is not None:
+        state.counters["refused_overloaded"] += 1
+        out.append(effect.Refuse(arrived.query_no, refusal))
+        return
+    state.counters["searches"] += 1
+    state.queries[query.number] = query
+    query.service.in_flight += 1
+    if not _finish_if_done(state, query, now, out):
+        _schedule(query, now, out)
+
+
+def admit(
+    state: states.State, arrived: event.SearchArrived, now: float
+) -> states.Query | problem.Problem:
+    """Return the search to run, or why it is refused; nothing has been sent yet."""
+    refusal = refuse_by_state(state, now)
+    if refusal is not None:
+        return refusal
+    service = state.services.get(arrived.service)
+    if service is None:
+        return problem.Problem(problem.Kind.UNKNOWN_SERVICE, f"no service {arrived.service!r}")
+    timeout_s = read_timeout_s(arrived.timeout_ms, service.spec)
+    if isinstance(timeout_s, problem.Problem):
+        return timeout_s
+    limit = service.spec.results if arrived.limit is None else arrived.limit
+    if type(limit) is not int or not 0 < limit <= service.spec.results:
+        detail = f"limit = {limit!r}: give a whole number from 1 to {service.spec.results}"
+        return problem.Problem(problem.Kind.BAD_REQUEST, detail)
+    if service.in_flight >= service.spec.queries_in_flight:
+        return _overloaded("too many searches in flight")
+    route = snapshot.choose(service, now)
+    if route is None:
+        return problem.Problem(problem.Kind.NO_SNAPSHOT, "the service has no snapshot")
+    margin_s = max(MARGIN_S, MARGIN_PART * timeout_s, state.lag_s)
+    return states.Query(
+        number=arrived.query_no,
+        request_id=arrived.request_id,
+        service=service,
+        text=arrived.query,
+        limit=limit,
+        arrived_at=now,
+        deadline=now + timeout_s - min(margin_s, MAX_MARGIN_PART * timeout_s),
+        latest=now + timeout_s,
+        route=route,
+    )
+
+
+def refuse_by_state(state: states.State, now: float) -> problem.Problem | None:
+    """Return why this daemon takes no work at all at present."""
+    if state.config is None:
+        return problem.Problem(
+            problem.Kind.NO_CONFIGURATION, "no configuration yet", retry_after_s=1
+        )
+    if state.out_since is not None and now - state.out_since >= OUT_GRACE_S:
+        detail = f"failure domain {state.identity.failure_domain} is out of service"
+        return problem.Problem(problem.Kind.FAILURE_DOMAIN_OUT, detail)
+    return None
+
+
+def read_timeout_s(header: str | None, spec) -> float | problem.Problem:
+    """Return the caller's timeout in seconds, or the service's default."""
+    if header is None:
+        return spec.default_ms / 1000
+    if header.isascii() and header.isdigit() and 0 < int(header) <= spec.max_ms:
+        return int(header) / 1000
+    detail = f"Request-Timeout-Ms = {header!r}: give a whole number from 1 to {spec.max_ms}"
+    return problem.Problem(problem.Kind.BAD_DEADLINE, detail)
+
+
+def _overloaded(detail: str) -> problem.Problem:
+    return problem.Problem(problem.Kind.OVERLOADED, detail, retry_after_s=OVERLOAD_RETRY_S)
+
+
+def _start(state: states.State, query: states.Query, now: float) -> problem.Problem | None:
+    """Send or queue every shard; when one cannot be in time, take all back and refuse."""
+    limit_s = LONGEST_WAIT_PART * (query.deadline - now)
+    picked = []
+    waiting = []
+    for shard in query.route.shards:
+        leaf, verdict = dispatch.pick(state, query, shard, now)
+        if leaf is not None:
+            leaf.in_flight += 1  # holds the room against the next shards of this search
+            picked.append((shard, leaf))
+        elif verdict is Verdict.FULL:
+            waiting.append(shard)
+        else:
+            query.missing[shard] = verdict.value
+    for _, leaf in picked:
+        leaf.in_flight -= 1
+    for shard in waiting:
+        wait_s = _expect_wait_s(state, query, shard, now)
+        if wait_s > limit_s:
+            return _overloaded(f"shard {shard} would wait {wait_s * 1000:.0f} ms for room")
+    if query.missing and not picked and not waiting:
+        return _overloaded(f"no target can take work: {next(iter(query.missing.values()))}")
+    for shard, leaf in picked:
+        dispatch.send(state, query, shard, leaf, now)
+    for shard in waiting:
+        dispatch.wait(state, query, shard, now)
+    return None
+
+
+def _expect_wait_s(state: states.State, query: states.Query, shard: str, now: float) -> float:
+    leaves = query.route.shards[shard]
+    waits = [
+        target.expect_wait_s(state, leaf, now)
+        for leaf in leaves
+        if target.judge(state, leaf, now) is Verdict.FULL
+    ]
+    return min(waits, default=0.0) / max(1, len(waits))
+
+
+def handle_lines(state: states.State, arrived: event.LinesArrived, now: float, out: list) -> None:
+    """Take in lines of a target's reply; a line that was not asked for is a fault."""
+    request = state.requests.get(arrived.request_no)
+    if request is None:
+        return
+    target.note_state(state, request.target, arrived.target_state, now, out)
+    touched = {}
+    for line in arrived.lines:
+        sub = None if line is None else request.subs.get(line.request_id)
+        if sub is None or not _matches(sub, line):
+            _take_garbled(state, request, sub, now, out)
+        else:
+            del request.subs[sub.id]
+            _take_line(state, sub, line, now, out)
+        if sub is not None:
+            touched[sub.query.number] = sub.query
+    for query in touched.values():
+        _finish_if_done(state, query, now, out)
+
+
+def _matches(sub: states.Sub, line: wire.Line) -> bool:
+    if line.shard != sub.shard:
+        return False
+    if line.error:
+        return True
+    return line.snapshot == sub.snapshot and line.complete
+
+
+def _take_garbled(state, request: states.Request, sub: states.Sub | None, now, out) -> None:
+    state.counters["lines_garbled"] += 1
+    garbled = event.Failure.GARBLED
+    target.record_failure(state, request.target, garbled, request.sent_at, now, out)
+    if sub is not None:
+        del request.subs[sub.id]
+        _fail(state, sub, "target_fault", now, is_paid=True)
+
+
+def _take_line(state: states.State, sub: states.Sub, line: wire.Line, now: float, out) -> None:
+    if line.error:
+        _take_error(state, sub, line.error, now, out)
+        return
+    query = sub.query
+    target.record_answer(state, sub, now, out)
+    query.service.record_latency(sub.shard, now - sub.sent_at)
+    is_wanted = _is_live(state, sub) and sub.shard not in query.answered
+    dispatch.release(state, sub, now)
+    if not is_wanted:
+        state.counters["lines_late"] += 1
+        return
+    query.answered[sub.shard] = line.hits
+    if sub.is_hedge:
+        state.counters["hedges_won"] += 1
+    dispatch.abandon(state, query.outstanding.pop(sub.shard, []), now)
+
+
+def _is_live(state: states.State, sub: states.Sub) -> bool:
+    if sub.is_abandoned or sub.attempt != sub.query.attempt:
+        return False
+    return sub.query.number in state.queries
+
+
+def _take_error(state: states.State, sub: states.Sub, error: str, now: float, out: list) -> None:
+    state.counters[f"lines_{error}" if error in _ERRORS else "lines_unknown_error"] += 1
+    if sub.is_abandoned:
+        dispatch.release(state, sub, now)
+        return
+    if error == "shed":
+        target.record_shed(state, sub.leaf, now, out)
+    elif error == "draining":
+        target.note_state(state, sub.leaf.target, event.TargetState.DRAINING, now, out)
+    elif error == "snapshot_gone":
+        snapshot.note_gone(sub.query.service, sub.snapshot, sub.leaf, now)
+    reason = _ERRORS.get(error, "target_fault")
+    _fail(state, sub, reason, now, is_paid=error not in _FREE_ERRORS)
+
+
+_ERRORS = {
+    "snapshot_gone": "snapshot_gone",
+    "shed": "overloaded",
+    "draining": "draining",
+    "expired": "deadline",
+    "unknown_shard": "unknown_shard",
+}
+_FREE_ERRORS = ("draining", "snapshot_gone", "unknown_shard")  # the target did no work
+
+
+def handle_ended(state: states.State, ended: event.RequestEnded, now: float, out: list) -> None:
+    """Take in the end of a request; what it did not answer is tried elsewhere."""
+    request = state.requests.pop(ended.request_no, None)
+    if request is None:
+        return
+    request.target.requests -= 1
+    failure = ended.failure
+    if failure is None and request.subs:
+        failure = event.Failure.GARBLED
+    if failure is not None:
+        target.record_failure(state, request.target, failure, request.sent_at, now, out)
+    is_paid = failure is None or not failure.is_not_run
+    reason = "target_fault" if failure is None else failure.value
+    queries = {}
+    for sub in request.subs.values():
+        _fail(state, sub, reason, now, is_paid)
+        queries[sub.query.number] = sub.query
+    for leaf in request.target.leaves:
+        dispatch.serve_waiting(state, leaf, now)
+    for query in queries.values():
+        _finish_if_done(state, query, now, out)
+
+
+def _fail(state: states.State, sub: states.Sub, reason: str, now: float, is_paid: bool) -> None:
+    """Try a failed sub-search at another replica, at another snapshot, or give its shard up."""
+    query = sub.query
+    dispatch.release(state, sub, now)
+    if not _is_live(state, sub) or sub.shard in query.answered:
+        return
+    if sub.shard in query.outstanding:
+        return  # its other request is still on the way
+    leaf, verdict = dispatch.pick(state, query, sub.shard, now)
+    if leaf is not None and (not is_paid or query.service.retries.spend()):
+        state.counters["retries"] += 1
+        dispatch.send(state, query, sub.shard, leaf, now)
+    elif reason == "snapshot_gone" and _rerun(state, query, now):
+        return
+    elif leaf is None and verdict is Verdict.FULL:
+        dispatch.wait(state, query, sub.shard, now)
+    else:
+        query.missing[sub.shard] = reason
+
+
+def _rerun(state: states.State, query: states.Query, now: float) -> bool:
+    """Start the search anew at another snapshot while time allows; return whether it did."""
+    usual_s = query.service.usual.read() or MIN_RERUN_S
+    query.snapshots_tried |= {query.route.snapshot.name}
+    route = snapshot.choose(query.service, now, query.snapshots_tried)
+    if route is None or query.deadline - now < max(MIN_RERUN_S, usual_s):
+        return False
+    state.counters["reruns"] += 1
+    for subs in list(query.outstanding.values()):
+        dispatch.abandon(state, subs, now)
+    query.attempt += 1
+    query.route = route
+    for part in (query.answered, query.missing, query.outstanding, query.waiting, query.tried):
+        part.clear()
+    for shard in route.shards:
+        leaf, verdict = dispatch.pick(state, query, shard, now)
+        if leaf is not None:
+            dispatch.send(state, query, shard, leaf, now)
+        elif verdict is Verdict.FULL:
+            dispatch.wait(state, query, shard, now)
+        else:
+            query.missing[shard] = verdict.value
+    return True
+
+
+def handle_due(state: states.State, due: event.SearchDue, now: float, out: list) -> None:
+    """Send the hedges that are due, or answer at the deadline."""
+    query = state.queries.get(due.query_no)
+    if query is None or _finish_if_done(state, query, now, out):
+        return
+    if now >= query.deadline and query.service.wait.keeps_deadline:
+        _finish(state, query, now, out)
+        return
+    _send_hedges(state, query, now)
+    _schedule(query, now, out)
+
+
+def handle_gone(state: states.State, gone: event.CallerGone, now: float, out: list) -> None:
+    """Cancel the work of a search whose caller is gone."""
+    query = state.queries.get(gone.query_no)
+    if query is None:
+        return
+    state.counters["callers_gone"] += 1
+    _close(state, query, now)
+
+
+def _send_hedges(state: states.State, query: states.Query, now: float) -> None:
+    for shard, subs in list(query.outstanding.items()):
+        due = _hedge_at(query, shard)
+        if due is None or due > now or len(subs) > 1:
+            continue
+        leaf, _ = dispatch.pick(state, query, shard, now)
+        if leaf is None or not query.service.hedges.spend():
+            continue
+        state.counters["hedges"] += 1
+        dispatch.send(state, query, shard, leaf, now, is_hedge=True)
+
+
+def _hedge_at(query: states.Query, shard: str) -> float | None:
+    tracker = query.service.quantiles.get(shard)
+    delay_s = query.service.hedge.delay_s(tracker.read() if tracker else None)
+    return None if delay_s is None else query.outstanding[shard][0].sent_at + delay_s
+
+
+def _schedule(query: states.Query, now: float, out: list) -> None:
+    """Ask to be woken at the search's next decision."""
+    times = [query.deadline if query.deadline > now else now + MIN_RERUN_S]
+    for shard, subs in query.outstanding.items():
+        due = _hedge_at(query, shard)
+        if due is not None and len(subs) == 1:
+            times.append(max(due, now + dispatch.MIN_WAKE_S))
+    enough_s = query.service.wait.patience_s(query.service.usual.read() or 0.0)
+    if enough_s is not None and query.arrived_at + enough_s > now:
+        times.append(query.arrived_at + enough_s)
+    out.append(effect.Wake(min(times), event.SearchDue(query.number)))
+
+
+def _finish_if_done(state: states.State, query: states.Query, now: float, out: list) -> bool:
+    if query.number not in state.queries:
+        return True
+    if query.outstanding or query.waiting:
+        spec = query.service.spec
+        coverage = len(query.answered) / len(query.route.shards)
+        usual_s = query.service.usual.read() or 0.0
+        elapsed_s = now - query.arrived_at
+        if not query.service.wait.is_enough(coverage, spec.enough_coverage, elapsed_s, usual_s):
+            return False
+    _finish(state, query, now, out)
+    return True
+
+
+def _finish(state: states.State, query: states.Query, now: float, out: list) -> None:
+    """Give the caller what is there; nothing is answered past the deadline."""
+    _close(state, query, now)
+    for shard in query.waiting:
+        query.missing[shard] = Verdict.FULL.value
+    total = len(query.route.shards)
+    if len(query.answered) == total:
+        query.service.usual.record(now - query.arrived_at)
+    else:
+        state.counters["answers_incomplete"] += 1
+    if now >= query.latest and query.service.wait.keeps_deadline:
+        state.counters["refused_deadline_exceeded"] += 1
+        detail = "this process was paused past the deadline"
+        late = problem.Problem(problem.Kind.DEADLINE_EXCEEDED, detail, problem.Execution.UNKNOWN)
+        out.append(effect.Refuse(query.number, late))
+        return
+    if len(query.answered) < query.service.spec.least_coverage * total:
+        state.counters["refused_coverage_too_low"] += 1
+        detail = f"{len(query.answered)} of {total} shards answered"
+        low = problem.Problem(problem.Kind.COVERAGE_TOO_LOW, detail, problem.Execution.UNKNOWN)
+        out.append(effect.Refuse(query.number, low))
+        return
+    out.append(effect.AnswerSearch(query.number, merge(query)))
+
+
+def _close(state: states.State, query: states.Query, now: float) -> None:
+    del state.queries[query.number]
+    query.service.in_flight -= 1
+    for subs in query.outstanding.values():
+        dispatch.abandon(state, subs, now)
+
+
+def merge(query: states.Query) -> wire.Answer:
+    """Return the answer: best first, no hit twice, every missing shard with its reason."""
+    best: dict[str, wire.MergedHit] = {}
+    for shard, hits in query.answered.items():
+        for hit in hits:
+            known = best.get(hit.id)
+            if known is None or hit.score > known.score:
+                best[hit.id] = wire.MergedHit(hit.id, hit.score, shard)
+    hits = heapq.nsmallest(query.limit, best.values(), key=lambda hit: (-hit.score, hit.id))
+    missing = [
+        wire.Missing(shard, query.missing.get(shard, "deadline"))
+        for shard in query.route.shards
+        if shard not in query.answered
+    ]
+    total = len(query.route.shards)
+    coverage = wire.Coverage(total, total - len(missing), missing)
+    return wire.Answer(query.request_id, query.route.snapshot.name, coverage, hits)
--- /dev/null
+++ b/hyssopproxy/server.py
@@ -0,0 +1,181 @@
+"""HTTP towards callers, the balancer and operators."""
+
+import asyncio
+import contextlib
+import time
+import typing
+import uuid
+
+import msgspec
+import starlette.applications
+import starlette.requests
+import starlette.responses
+import starlette.routing
+import uvicorn
+
+from hyssopproxy import dump
+from hyssopproxy import event
+from hyssopproxy import lifecycle
+from hyssopproxy import problem
+from hyssopproxy import runtime as runtimes
+from hyssopproxy import wire
+
+MAX_BODY_BYTES = 1 << 16  # for a service that is not known
+MAX_ID_CHARS = 200
+STOP_TIMEOUT_S = 30
+Kind = problem.Kind
+
+
+class Endpoints:
+    """Turns HTTP requests into events and replies into HTTP."""
+
+    def __init__(self, runtime: runtimes.Runtime) -> None:
+        self._runtime = runtime
+
+    def caller_app(self) -> starlette.applications.Starlette:
+        """Return the application for callers and the balancer."""
+        route = starlette.routing.Route
+        return starlette.applications.Starlette(
+            routes=[
+                route("/v1/services/{service}/search", self._search, methods=["POST"]),
+                route("/v1/services/{service}/actions", self._act, methods=["POST"]),
+                route("/livez", self._livez),
+                route("/readyz", self._readyz),
+            ]
+        )
+
+    def operator_app(self) -> starlette.applications.Starlette:
+        """Return the application for operators."""
+        route = starlette.routing.Route
+        return starlette.applications.Starlette(
+            routes=[route("/metrics", self._metrics), route("/state", self._state)]
+        )
+
+    async def _search(self, request: starlette.requests.Request) -> starlette.responses.Response:
+        began = time.monotonic()
+        request_id = _request_id(request)
+        body = await self._read_body(request)
+        if isinstance(body, problem.Problem):
+            return self._respond(body, request_id)
+        if not isinstance(body, dict) or "query" not in body or set(body) - {"query", "limit"}:
+            detail = 'give {"query": ..., "limit": N}'
+            return self._respond(problem.Problem(Kind.BAD_REQUEST, detail), request_id)
+        number, reply = self._runtime.expect()
+        self._runtime.post(
+            event.SearchArrived(
+                query_no=number,
+                service=request.path_params["service"],
+                request_id=request_id,
+                timeout_ms=request.headers.get("request-timeout-ms"),
+                query=body["query"],
+                limit=body.get("limit"),
+            )
+        )
+        watch = asyncio.ensure_future(self._watch_caller(request, number))
+        try:
+            result = await reply
+        finally:
+            watch.cancel()
+        self._runtime.metrics.record("search", time.monotonic() - began)
+        return self._respond(result, request_id)
+
+    async def _watch_caller(self, request: starlette.requests.Request, number: int) -> None:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            self._runtime.post(event.CallerGone(number))
+
+    async def _act(self, request: starlette.requests.Request) -> starlette.responses.Response:
+        began = time.monotonic()
+        request_id = _request_id(request)
+        body = await self._read_body(request)
+        if isinstance(body, problem.Problem):
+            return self._respond(body, request_id)
+        number, reply = self._runtime.expect()
+        self._runtime.post(
+            event.ActionArrived(
+                action_no=number,
+                service=request.path_params["service"],
+                key=request.headers.get("idempotency-key", ""),
+                timeout_ms=request.headers.get("request-timeout-ms"),
+                body=body,
+            )
+        )
+        result = await reply
+        self._runtime.metrics.record("action", time.monotonic() - began)
+        return self._respond(result, request_id)
+
+    async def _read_body(self, request: starlette.requests.Request) -> typing.Any:
+        service = self._runtime.state.services.get(request.path_params["service"])
+        most = service.spec.body_bytes if service else MAX_BODY_BYTES
+        body = bytearray()
+        async for piece in request.stream():
+            body += piece
+            if len(body) > most:
+                return problem.Problem(Kind.BODY_TOO_LARGE, f"the body is over {most} bytes")
+        try:
+            return msgspec.json.decode(body)
+        except msgspec.DecodeError as error:
+            return problem.Problem(Kind.BAD_REQUEST, f"the body is no JSON: {error}")
+
+    def _respond(self, reply: runtimes.Reply, request_id: str) -> starlette.responses.Response:
+        headers = {"Request-Id": request_id}
+        if self._runtime.state.stopping_at is not None:
+            headers["Connection"] = "close"
+        if isinstance(reply, problem.Problem):
+            if reply.retry_after_s is not None:
+                headers["Retry-After"] = str(reply.retry_after_s)
+            body = msgspec.json.encode(reply.body())
+            media = "application/problem+json"
+            return starlette.responses.Response(body, reply.status, headers, media)
+        if isinstance(reply, wire.Answer):
+            reply = (200, msgspec.json.encode(reply))
+        status, body = reply
+        return starlette.responses.Response(body, status, headers, "application/json")
+
+    async def _livez(self, request: starlette.requests.Request) -> starlette.responses.Response:
+        return starlette.responses.PlainTextResponse("alive\n")
+
+    async def _readyz(self, request: starlette.requests.Request) -> starlette.responses.Response:
+        reason = lifecycle.explain_unready(self._runtime.state)
+        headers = {"Connection": "close"} if reason else {}
+        status = 503 if reason else 200
+        return starlette.responses.PlainTextResponse(f"{reason or 'ready'}\n", status, headers)
+
+    async def _metrics(self, request: starlette.requests.Request) -> starlette.responses.Response:
+        text = self._runtime.metrics.render(self._runtime.state.counters)
+        return starlette.responses.PlainTextResponse(text)
+
+    async def _state(self, request: starlette.requests.Request) -> starlette.responses.Response:
+        value = dump.describe(self._runtime.state, time.monotonic())
+        body = msgspec.json.encode(value)
+        return starlette.responses.Response(body, media_type="application/json")
+
+
+def _request_id(request: starlette.requests.Request) -> str:
+    given = request.headers.get("request-id", "")
+    return given if 0 < len(given) <= MAX_ID_CHARS else uuid.uuid4().hex
+
+
+class Server(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        yield
+
+
+def make_server(app: starlette.applications.Starlette, host: str, port: int) -> Server:
+    """Return a server for one application."""
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="critical",
+        access_log=False,
+        timeout_graceful_shutdown=STOP_TIMEOUT_S,
+    )
+    return Server(config)
--- /dev/null
+++ b/hyssopproxy/snapshot.py
@@ -0,0 +1,47 @@
+"""Choice of the snapshot that a search runs at."""
+
+from hyssopproxy import state as states
+
+GONE_S = 10.0  # how long a target's "snapshot_gone" is believed
+
+
+def choose(
+    service: states.Service, now: float, besides: frozenset[str] = frozenset()
+) -> states.Route | None:
+    """Return the newest snapshot that every shard is believed to serve, else the fullest."""
+    _forget_old(service, now)
+    best, best_share = None, -1.0
+    for route in service.routes:
+        if route.snapshot.name in besides:
+            continue
+        share = _believed_share(service, route)
+        if share == 1.0:
+            return route
+        if share > best_share:
+            best, best_share = route, share
+    return best
+
+
+def note_gone(service: states.Service, snapshot: str, leaf: states.Leaf, now: float) -> None:
+    """Take in that a target does not serve a snapshot."""
+    service.gone[(snapshot, leaf.target.spec.name)] = now + GONE_S
+
+
+def is_gone(service: states.Service, snapshot: str, leaf: states.Leaf) -> bool:
+    """Return whether the target said that it does not serve the snapshot."""
+    return (snapshot, leaf.target.spec.name) in service.gone
+
+
+def _forget_old(service: states.Service, now: float) -> None:
+    if service.gone and min(service.gone.values()) <= now:
+        service.gone = {key: until for key, until in service.gone.items() if until > now}
+
+
+def _believed_share(service: states.Service, route: states.Route) -> float:
+    name = route.snapshot.name
+    if not any(snapshot == name for snapshot, _ in service.gone):
+        return 1.0
+    served = 0
+    for leaves in route.shards.values():
+        served += any(not is_gone(service, name, leaf) for leaf in leaves)
+    return served / len(route.shards)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folder mirrors the package."""
