Searches: decisions tested under any order of events; latency-first waits for history

Cause: latency_first with no history took the usual time for 0 and answered half at once (found by tests/test_search.py::test_latency_first_answers_with_enough, which failed first). Also: frugal quantile steps took over 1,600 answers to forget one straggler among the first 20, so 14 hedges came for about 150 stragglers. Change: usual time counts incomplete answers and None before 20; hedge delay is the least of the quantile and four medians; a loop that is behind takes no new search (before: metastable under CPU load).

--- a/hyssopproxy/action.py
+++ b/hyssopproxy/action.py
@@ -186,7 +186,6 @@
         effect.SendAction(
             action_no=action.number,
             address=leaf.target.spec.address,
-            connections=target.connection_share(state, leaf.target, now),
             key=action.key,
             body=action.body,
             not_after=min(now + dispatch.SEND_GRACE_S, action.deadline),
--- a/hyssopproxy/configuration.py
+++ b/hyssopproxy/configuration.py
@@ -6,6 +6,7 @@
 from hyssopproxy import effect
 from hyssopproxy import model
 from hyssopproxy import quantile
+from hyssopproxy import share
 from hyssopproxy import state as states
 from hyssopproxy import target as targets
 from hyssopproxy.policy import registry
@@ -31,6 +32,7 @@
     state.packed = zlib.compress(blob)
     state.rejected = ""
     _note_roster(state, config, now)
+    share.count_sharers(state, now)
     _build_services(state, config, is_first=old is None, now=now, out=out)
     _note_domains(state, old, now, out)
     state.counters["config_accepted"] += 1
--- a/hyssopproxy/dispatch.py
+++ b/hyssopproxy/dispatch.py
@@ -170,7 +170,6 @@
     return effect.SendSearch(
         request_no=number,
         address=address,
-        connections=target.connection_share(state, place, now),
         searches=tuple(searches),
         flush_interval_ms=place.service.spec.flush_interval_ms,
         not_after=now + SEND_GRACE_S,
--- a/hyssopproxy/dump.py
+++ b/hyssopproxy/dump.py
@@ -60,7 +60,7 @@
             {
                 "in_flight": leaf.in_flight,
                 "limit": round(leaf.limit.value, 2),
-                "permits": targets.permits(state, leaf, now),
+                "permits": targets.permits(state, leaf),
                 "waiting": len(leaf.waiting),
                 "latency_ms": round(leaf.latency_s * 1000, 3),
             }
--- a/hyssopproxy/effect.py
+++ b/hyssopproxy/effect.py
@@ -30,7 +30,6 @@
 
     request_no: int
     address: str
-    connections: int  # this daemon's share of the target's connection cap
     searches: tuple[wire.SubSearch, ...]
     flush_interval_ms: int
     not_after: float
@@ -58,7 +57,6 @@
 
     action_no: int
     address: str
-    connections: int
     key: str
     body: typing.Any
     not_after: float
--- a/hyssopproxy/emulator/leaf.py
+++ b/hyssopproxy/emulator/leaf.py
@@ -30,7 +30,6 @@
     garble: str = ""  # id, shard, snapshot, cut, json, partial
     garble_rate: float = 1.0
     shed_rate: float = 0.0
-    drop_actions: str = ""  # before, after: close without a reply, before or after running
     action_ms: float = 5.0
 
 
--- a/hyssopproxy/lifecycle.py
+++ b/hyssopproxy/lifecycle.py
@@ -5,6 +5,7 @@
 from hyssopproxy import effect
 from hyssopproxy import event
 from hyssopproxy import fleet
+from hyssopproxy import share
 from hyssopproxy import state as states
 from hyssopproxy import watch
 
@@ -31,7 +32,10 @@
 def handle_tick(state: states.State, tick: event.Tick, now: float, out: list) -> None:
     """Do the periodic work."""
     late_s = max(0.0, now - tick.due_at)
+    state.late_s = late_s
     state.lag_s = max(min(late_s, TICK_S), state.lag_s * LAG_DECAY)
+    if state.rosters:
+        share.count_sharers(state, now)
     out.append(effect.Wake(now + TICK_S, event.Tick(now + TICK_S)))
     fleet.handle_tick(state, now, out)
     watch.handle_tick(state, now, out)
--- a/hyssopproxy/policy/base.py
+++ b/hyssopproxy/policy/base.py
@@ -32,8 +32,8 @@
     name = ""
 
     @abc.abstractmethod
-    def delay_s(self, shard_quantile_s: float | None) -> float | None:
-        """Return the delay before a hedge in seconds, or None for no hedge."""
+    def delay_s(self, quantile_s: float, median_s: float) -> float | None:
+        """Return the delay before a hedge, or None for none; the shard's latencies in seconds."""
 
 
 class WaitPolicy(abc.ABC):
--- a/hyssopproxy/policy/hedge.py
+++ b/hyssopproxy/policy/hedge.py
@@ -3,6 +3,7 @@
 from hyssopproxy.policy import base
 
 MIN_DELAY_S = 0.002  # a hedge sooner than this cannot beat the first request
+STRAGGLER_RATIO = 4.0  # of the median; finds stragglers that are more than the quantile leaves out
 MARGIN = 1.25  # keeps ordinary jitter around the quantile from hedging
 
 
@@ -11,7 +12,7 @@
 
     name = "none"
 
-    def delay_s(self, shard_quantile_s: float | None) -> float | None:
+    def delay_s(self, quantile_s: float, median_s: float) -> float | None:
         return None
 
 
@@ -20,7 +21,5 @@
 
     name = "quantile"
 
-    def delay_s(self, shard_quantile_s: float | None) -> float | None:
-        if shard_quantile_s is None:
-            return None
-        return max(MIN_DELAY_S, shard_quantile_s * MARGIN)
+    def delay_s(self, quantile_s: float, median_s: float) -> float | None:
+        return max(MIN_DELAY_S, min(quantile_s * MARGIN, median_s * STRAGGLER_RATIO))
--- a/hyssopproxy/quantile.py
+++ b/hyssopproxy/quantile.py
@@ -1,40 +1,44 @@
 """A live quantile in constant memory."""
 
+import collections
+
 import attrs
 
-STEP = 0.04  # relative move for one value
+WINDOW = 128  # newest values kept
 MIN_SAMPLES = 20
+REFRESH = 16  # values between two sorts of the window
 
 
 @attrs.define
 class Tracker:
-    """Follows one quantile of a stream by relative steps.
-
-    Method: frugal streaming (Ma, Muthukrishnan, Sandler, 2013), with relative steps.
+    """Follows one quantile, and the median, of the newest values of a stream.
 
-    >>> tracker = Tracker(0.5)
-    >>> for value in [1.0, 2.0, 3.0] * 200: tracker.record(value)
-    >>> 1.5 < tracker.value < 2.5
-    True
+    >>> tracker = Tracker(0.9)
+    >>> for value in range(100): tracker.record(value)
+    >>> tracker.read(), tracker.median
+    (86, 48)
     """
 
     rank: float
-    value: float = 0.0
-    samples: int = 0
+    median: float = 0.0
+    _value: float = 0.0
+    _samples: int = 0
+    _window: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=WINDOW)
+    )
 
     def record(self, sample: float) -> None:
         """Take in one value above zero."""
-        self.samples += 1
-        if self.samples <= MIN_SAMPLES:
-            self.value = max(self.value, sample)
-        elif sample > self.value:
-            self.value *= 1.0 + STEP * self.rank
-        else:
-            self.value *= 1.0 - STEP * (1.0 - self.rank)
+        self._window.append(sample)
+        self._samples += 1
+        if self._samples == MIN_SAMPLES or self._samples % REFRESH == 0:
+            ordered = sorted(self._window)
+            self.median = ordered[len(ordered) // 2]
+            self._value = ordered[int(len(ordered) * self.rank)]
 
     def read(self) -> float | None:
         """Return the quantile, or None before there are enough values."""
-        return self.value if self.samples >= MIN_SAMPLES else None
+        return self._value if self._samples >= MIN_SAMPLES else None
 
 
 @attrs.define
--- a/hyssopproxy/search.py
+++ b/hyssopproxy/search.py
@@ -18,6 +18,7 @@
 LONGEST_WAIT_PART = 0.8  # of the time left that a shard may wait for room
 OUT_GRACE_S = 10.0  # an entry VM of a domain that is out serves this long
 OVERLOAD_RETRY_S = 1
+LATE_PART = 0.1  # of the timeout; a loop further behind takes no new search
 Verdict = target.Verdict
 
 
@@ -59,6 +60,8 @@
     if type(limit) is not int or not 0 < limit <= service.spec.results:
         detail = f"limit = {limit!r}: give a whole number from 1 to {service.spec.results}"
         return problem.Problem(problem.Kind.BAD_REQUEST, detail)
+    if state.late_s > LATE_PART * timeout_s:
+        return _overloaded(f"this process is {state.late_s * 1000:.0f} ms behind")
     if service.in_flight >= service.spec.queries_in_flight:
         return _overloaded("too many searches in flight")
     route = snapshot.choose(service, now)
@@ -332,7 +335,10 @@
 
 def _hedge_at(query: states.Query, shard: str) -> float | None:
     tracker = query.service.quantiles.get(shard)
-    delay_s = query.service.hedge.delay_s(tracker.read() if tracker else None)
+    quantile_s = tracker.read() if tracker else None
+    if quantile_s is None:
+        return None
+    delay_s = query.service.hedge.delay_s(quantile_s, tracker.median)
     return None if delay_s is None else query.outstanding[shard][0].sent_at + delay_s
 
 
@@ -343,7 +349,8 @@
         due = _hedge_at(query, shard)
         if due is not None and len(subs) == 1:
             times.append(max(due, now + dispatch.MIN_WAKE_S))
-    enough_s = query.service.wait.patience_s(query.service.usual.read() or 0.0)
+    usual_s = query.service.usual.read()
+    enough_s = None if usual_s is None else query.service.wait.patience_s(usual_s)
     if enough_s is not None and query.arrived_at + enough_s > now:
         times.append(query.arrived_at + enough_s)
     out.append(effect.Wake(min(times), event.SearchDue(query.number)))
@@ -355,9 +362,12 @@
     if query.outstanding or query.waiting:
         spec = query.service.spec
         coverage = len(query.answered) / len(query.route.shards)
-        usual_s = query.service.usual.read() or 0.0
+        usual_s = query.service.usual.read()
         elapsed_s = now - query.arrived_at
-        if not query.service.wait.is_enough(coverage, spec.enough_coverage, elapsed_s, usual_s):
+        wait = query.service.wait
+        if usual_s is None:
+            return False
+        if not wait.is_enough(coverage, spec.enough_coverage, elapsed_s, usual_s):
             return False
     _finish(state, query, now, out)
     return True
@@ -369,9 +379,8 @@
     for shard in query.waiting:
         query.missing[shard] = Verdict.FULL.value
     total = len(query.route.shards)
-    if len(query.answered) == total:
-        query.service.usual.record(now - query.arrived_at)
-    else:
+    query.service.usual.record(now - query.arrived_at)
+    if len(query.answered) < total:
         state.counters["answers_incomplete"] += 1
     if now >= query.latest and query.service.wait.keeps_deadline:
         state.counters["refused_deadline_exceeded"] += 1
--- a/hyssopproxy/server.py
+++ b/hyssopproxy/server.py
@@ -7,7 +7,6 @@
 import uuid
 
 import msgspec
-import starlette.applications
 import starlette.requests
 import starlette.responses
 import starlette.routing
@@ -32,10 +31,10 @@
     def __init__(self, runtime: runtimes.Runtime) -> None:
         self._runtime = runtime
 
-    def caller_app(self) -> starlette.applications.Starlette:
+    def caller_app(self) -> starlette.routing.Router:
         """Return the application for callers and the balancer."""
         route = starlette.routing.Route
-        return starlette.applications.Starlette(
+        return starlette.routing.Router(
             routes=[
                 route("/v1/services/{service}/search", self._search, methods=["POST"]),
                 route("/v1/services/{service}/actions", self._act, methods=["POST"]),
@@ -44,10 +43,10 @@
             ]
         )
 
-    def operator_app(self) -> starlette.applications.Starlette:
+    def operator_app(self) -> starlette.routing.Router:
         """Return the application for operators."""
         route = starlette.routing.Route
-        return starlette.applications.Starlette(
+        return starlette.routing.Router(
             routes=[route("/metrics", self._metrics), route("/state", self._state)]
         )
 
@@ -164,7 +163,7 @@
         yield
 
 
-def make_server(app: starlette.applications.Starlette, host: str, port: int) -> Server:
+def make_server(app: starlette.routing.Router, host: str, port: int) -> Server:
     """Return a server for one application."""
     config = uvicorn.Config(
         app,
@@ -176,6 +175,7 @@
         lifespan="off",
         log_level="critical",
         access_log=False,
+        proxy_headers=False,
         timeout_graceful_shutdown=STOP_TIMEOUT_S,
     )
     return Server(config)
--- a/hyssopproxy/share.py
+++ b/hyssopproxy/share.py
@@ -47,10 +47,10 @@
     return min(split(total, key, vm, roster.vms) for roster in current_rosters(state, now))
 
 
-def shared(state: states.State, total: int, now: float) -> int:
-    """Return this daemon's part of a cap, at least one."""
-    most = max(len(roster.vms) for roster in current_rosters(state, now))
-    return max(1, total // max(1, most))
+def count_sharers(state: states.State, now: float) -> None:
+    """Count the VMs of the longest list that another daemon may still follow."""
+    lengths = [len(roster.vms) for roster in current_rosters(state, now)]
+    state.sharers = max(1, *lengths)
 
 
 def current_rosters(state: states.State, now: float) -> list[states.Roster]:
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -216,6 +216,7 @@
     packed: bytes = b""  # the same, compressed
     fresh_at: float = NEVER  # the platform had nothing newer at this time
     rosters: list[Roster] = attrs.field(factory=list)  # newest last
+    sharers: int = 1  # VMs that a target's capacity is divided by
     is_listed_leaving: bool = False  # by the platform's list of VMs
     services: dict[str, Service] = attrs.field(factory=dict)
     targets: dict[str, Target] = attrs.field(factory=dict)  # by address
@@ -227,7 +228,8 @@
     peers: dict[str, Peer] = attrs.field(factory=dict)
     outbox: dict[str, list[Sub]] = attrs.field(factory=dict)  # by address, sent after the event
     cancels: dict[str, list[tuple[str, str]]] = attrs.field(factory=dict)
-    lag_s: float = 0.0  # how late the loop runs of late
+    lag_s: float = 0.0  # how late the loop ran of late
+    late_s: float = 0.0  # how late the last tick came
     last_event_at: float = NEVER
     settled_at: float = NEVER  # actions are refused before this
     out_since: float | None = None  # own failure domain taken out
--- a/hyssopproxy/target.py
+++ b/hyssopproxy/target.py
@@ -40,11 +40,9 @@
         return verdict
     if target.is_cold:
         return _judge_cold(state, target, now)
-    if target.requests >= connection_share(state, target, now):
+    if target.requests >= connection_share(state, target):
         return Verdict.FULL
-    if leaf.in_flight >= permits(state, leaf, now):
-        return Verdict.FULL
-    return Verdict.ROOM
+    return Verdict.FULL if leaf.in_flight >= permits(state, leaf) else Verdict.ROOM
 
 
 def judge_target(state: states.State, target: states.Target, now: float) -> Verdict:
@@ -61,20 +59,14 @@
     return Verdict.ROOM
 
 
-def connection_cap(target: states.Target) -> int:
-    """Return the connections that the target bears from all daemons."""
-    return target.spec.connections * target.spec.leaves
-
-
-def connection_share(state: states.State, target: states.Target, now: float) -> int:
+def connection_share(state: states.State, target: states.Target) -> int:
     """Return this daemon's part of the target's connection cap."""
-    return share.shared(state, connection_cap(target), now)
+    return max(1, target.spec.connections * target.spec.leaves // state.sharers)
 
 
-def permits(state: states.State, leaf: states.Leaf, now: float) -> int:
+def permits(state: states.State, leaf: states.Leaf) -> int:
     """Return the sub-searches that this daemon may have in flight at a warm leaf."""
-    cap = share.shared(state, leaf.target.spec.slots, now)
-    return max(1, min(cap, int(leaf.limit.value)))
+    return max(1, min(leaf.target.spec.slots // state.sharers, int(leaf.limit.value)))
 
 
 def cold_permits(state: states.State, target: states.Target, now: float) -> int:
@@ -97,7 +89,7 @@
     """Return how long one more request would wait for room at the leaf, in seconds."""
     usual = max(leaf.latency_s, 0.001)
     allowed = cold_permits(state, leaf.target, now) if leaf.target.is_cold else 0
-    allowed = allowed or permits(state, leaf, now)
+    allowed = allowed or permits(state, leaf)
     return (len(leaf.waiting) + 1) * usual / allowed
 
 
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,95 @@
+"""A daemon's state with an accepted configuration, for tests of the pure decisions."""
+
+import random
+
+import msgspec
+
+from bench import fleet as fleets
+from hyssopproxy import effect
+from hyssopproxy import event
+from hyssopproxy import message
+from hyssopproxy import reducer
+from hyssopproxy import state as states
+from hyssopproxy import wire
+
+
+class World:
+    """One daemon under the test's own clock."""
+
+    def __init__(self, layout=None, vm=0, **fields):
+        self.layout = layout or fleets.make_layout(targets=3, vms=2, shards=6, replicas=2)
+        self.now = 1000.0
+        me = self.layout.vms[vm]
+        identity = states.Identity(me.vm, me.domain, me.peer, 1)
+        self.state = states.State(identity, random.Random(3), self.now, **fields)
+        self.effects = []
+        self.number = 10**6
+
+    def publish(self, version=1, out=(), **changes):
+        value = fleets.make_value(self.layout, version, out)
+        for name, table in changes.items():
+            value["services"][fleets.SERVICE][name] = table
+        blob = msgspec.json.encode(value)
+        return self.post(event.ConfigArrived(blob, self.now))
+
+    def post(self, happened, after=0.0):
+        """Post an event some seconds later and return its effects; the loop ticks meanwhile."""
+        self.now += after
+        self.state.last_event_at = self.now
+        return self.post_late(happened)
+
+    def post_late(self, happened, after=0.0):
+        """The same with no tick meanwhile, as after a pause."""
+        self.now += after
+        self.effects = reducer.reduce(self.state, happened, self.now)
+        return self.effects
+
+    def refresh(self):
+        return self.post(event.ConfigUnchanged(self.now))
+
+    def search(self, timeout_ms="1000", query="q", limit=None, service=fleets.SERVICE):
+        self.number += 1
+        arrived = event.SearchArrived(self.number, service, "id", timeout_ms, query, limit)
+        return self.post(arrived)
+
+    def act(self, key="k", body=None, origin="", timeout_ms="1000"):
+        self.number += 1
+        body = body or {"action": "send"}
+        arrived = event.ActionArrived(
+            self.number, fleets.SERVICE, key, timeout_ms, body, origin=origin
+        )
+        return self.post(arrived)
+
+    def pong(self, peer, version=1, fresh_age_ms=0, asked_at=None, cold=()):
+        vm = self.layout.vms[peer]
+        word = message.Word(vm.vm, vm.peer, vm.domain, 1, version, fresh_age_ms, False, cold)
+        asked_at = self.now if asked_at is None else asked_at
+        return self.post(event.PeerSpoke(message.Pong(word, asked_at)))
+
+    def answer(self, sent, after=0.004, state=event.TargetState.WARM, **changes):
+        """Let a target answer all sub-searches of a request."""
+        lines = tuple(make_line(sub, **changes) for sub in sent.searches)
+        got = self.post(event.LinesArrived(sent.request_no, lines, state), after)
+        return got + self.post(event.RequestEnded(sent.request_no, None))
+
+
+def make_line(sub, **changes):
+    hits = [wire.Hit(f"{sub.snapshot}:{sub.shard}", 1.0)]
+    line = wire.Line(sub.request_id, sub.shard, sub.snapshot, True, hits)
+    return msgspec.structs.replace(line, **changes)
+
+
+def find(effects, kind):
+    return [one for one in effects if isinstance(one, kind)]
+
+
+def sends(effects):
+    return find(effects, effect.SendSearch)
+
+
+def answers(effects):
+    return [one.answer for one in find(effects, effect.AnswerSearch)]
+
+
+def refusals(effects):
+    return [one.problem for one in find(effects, effect.Refuse)]
