--- a/hyssopproxy/action.py
+++ b/hyssopproxy/action.py
@@ -16,7 +16,6 @@
 from hyssopproxy import target
 
 MAX_KEY_CHARS = 200
-LEASE_PART = 0.25  # of the action window; an owner's word must be fresher than this
 KEEP_S = 3600.0  # an outcome is remembered this long
 MAX_OUTCOMES = 200_000
 RUNNING = 0
@@ -84,9 +83,8 @@
 
 
 def _pass_on(state: states.State, action: states.Action, now: float, out: list) -> None:
-    peer = state.peers.get(action.owner)
-    if peer is None or now - peer.heard_at > fleet.PEER_LOST_S:
-        detail = f"VM {action.owner} owns the key and is not heard"
+    if fleet.is_silent(state, action.owner, now):
+        detail = f"VM {action.owner} owns the key and leaves pings unanswered"
         _finish(state, action, _unreachable(detail), out)
         return
     action.is_passed_on = True
@@ -99,7 +97,8 @@
         timeout_ms=max(1, int((action.deadline - now) * 1000)),
         body=msgspec.json.encode(action.body),
     )
-    out.append(effect.SendPeer(peer.address, passed))
+    address = state.config.vms[action.owner].peer_address
+    out.append(effect.SendPeer(address, passed))
 
 
 def _unreachable(detail: str) -> problem.Problem:
@@ -154,7 +153,7 @@
     window_s = state.action_window_s
     if now - state.started_at < window_s or now < state.settled_at:
         return _unsettled(state, "the owner of the key started or paused too short a time ago")
-    if now - state.fresh_at > window_s * LEASE_PART:
+    if now - state.fresh_at > window_s * states.LEASE_PART:
         detail = "the owner of the key has no fresh word of the configuration"
         return problem.Problem(Kind.CONFIGURATION_STALE, detail, Execution.UNKNOWN, 5)
     key = _owner_key(action.service, action.key)
@@ -229,6 +228,7 @@
             )
         return
     target.note_state(state, place, ended.target_state, now, out)
+    target.record_alive(place, action.sent_at, now)
     if ended.not_run:
         target.record_shed(state, action.leaf, now, out)
         _try_target(state, action, now, out)
--- a/hyssopproxy/configuration.py
+++ b/hyssopproxy/configuration.py
@@ -25,7 +25,7 @@
     if old is not None and config.version <= old.version:
         state.counters["config_not_newer"] += config.version < old.version
         return False
-    if old is not None and now - state.fresh_at >= state.action_window_s / 2:
+    if old is not None and now - state.fresh_at >= state.action_window_s * states.LEASE_PART:
         state.settled_at = now + state.action_window_s  # versions between may have moved keys
     state.config = config
     state.blob = blob
--- a/hyssopproxy/fleet.py
+++ b/hyssopproxy/fleet.py
@@ -13,7 +13,8 @@
 FAR_PING_S = 5.0  # to the other failure domains while the platform's word is fresh
 WORD_S = 2.5  # a word older than this moves no work to another failure domain
 LOST_WORD_S = 1.5  # a platform word older than this makes pings go to all domains each time
-PEER_LOST_S = 5.0
+SILENT_S = 2.5  # a peer that leaves pings unanswered this long is lost
+PONG_MAX_S = 5.0  # a later pong is dropped whole
 ROUND_TRIP_MAX_S = 1.0  # a pong later than this brings no news of targets
 SPREAD = 4  # daemons that hear of a new version at once
 READERS = 2  # daemons of a failure domain that watch the platform
@@ -32,15 +33,21 @@
 def is_reader(state: states.State, now: float) -> bool:
     """Return whether this daemon is one of its failure domain's readers of the platform."""
     me = state.identity
-    mine = share.score("reader", me.vm)
+    mine = (share.score("reader", me.vm), me.vm)
     ahead = 0
-    for peer in state.peers.values():
-        if peer.failure_domain != me.failure_domain or now - peer.heard_at > PEER_LOST_S:
+    for vm in state.config.vms.values():
+        if vm.failure_domain != me.failure_domain or vm.id == me.vm:
             continue
-        ahead += (share.score("reader", peer.vm), peer.vm) > (mine, me.vm)
+        ahead += (share.score("reader", vm.id), vm.id) > mine and not is_silent(state, vm.id, now)
     return ahead < READERS
 
 
+def is_silent(state: states.State, vm: str, now: float) -> bool:
+    """Return whether a daemon left pings unanswered for too long."""
+    peer = state.peers.get(vm)
+    return peer is not None and peer.asked_at is not None and now - peer.asked_at > SILENT_S
+
+
 def make_word(state: states.State, now: float) -> message.Word:
     """Return this daemon's own word."""
     me = state.identity
@@ -62,34 +69,45 @@
     if now < state.next_ping_at:
         return
     state.next_ping_at = now + PING_S * (0.75 + 0.5 * state.rng.random())
-    for address in _choose_to_ping(state, now):
-        _ping(state, address, now, out)
+    if state.config is None:
+        for address in state.seeds:
+            out.append(effect.SendPeer(address, message.Ping(make_word(state, now), now)))
+        return
+    for vm in _choose_to_ping(state, now):
+        _ping(state, vm, now, out)
     state.cold_news.clear()
 
 
-def _ping(state: states.State, address: str, now: float, out: list) -> None:
+def _ping(state: states.State, vm: model.VM, now: float, out: list) -> None:
     state.counters["pings"] += 1
-    out.append(effect.SendPeer(address, message.Ping(make_word(state, now), now)))
+    peer = state.peers.get(vm.id)
+    if peer is None:
+        peer = states.Peer(vm.id, vm.peer_address, vm.failure_domain)
+        state.peers[vm.id] = peer
+    if peer.asked_at is None:
+        peer.asked_at = now
+    out.append(effect.SendPeer(vm.peer_address, message.Ping(make_word(state, now), now)))
 
 
-def _choose_to_ping(state: states.State, now: float) -> list[str]:
-    """Return one reader and one other of the own domain, and one of each other domain in turn."""
-    if state.config is None:
-        return list(state.seeds)
+def _choose_to_ping(state: states.State, now: float) -> list[model.VM]:
+    """Return one reader and one other of the own domain, and now and then one of each other."""
     domains: dict[str, list[model.VM]] = {}
     for vm in state.config.vms.values():
         if vm.id != state.identity.vm:
             domains.setdefault(vm.failure_domain, []).append(vm)
     near = domains.pop(state.identity.failure_domain, [])
     near.sort(key=lambda vm: -share.score("reader", vm.id))
-    chosen = [state.rng.choice(near[:READERS]), state.rng.choice(near)] if near else []
+    speaking = [vm for vm in near if not is_silent(state, vm.id, now)]
+    chosen = [state.rng.choice(speaking[:READERS])] if speaking else []
+    if near:
+        chosen.append(state.rng.choice(near))
     is_lost = now - state.fresh_at > LOST_WORD_S
     for vms in domains.values():
         if is_lost or state.rng.random() < PING_S / FAR_PING_S:
             chosen.append(state.rng.choice(vms))
     if is_lost:
-        chosen.extend(near[: READERS + 1])
-    return list(dict.fromkeys(vm.peer_address for vm in chosen))
+        chosen.extend(speaking[: READERS + 1])
+    return list(dict.fromkeys(chosen))
 
 
 def spread(state: states.State, now: float, out: list) -> None:
@@ -98,7 +116,7 @@
         return
     others = [vm for vm in state.config.vms.values() if vm.id != state.identity.vm]
     for vm in state.rng.sample(others, min(SPREAD, len(others))):
-        _ping(state, vm.peer_address, now, out)
+        _ping(state, vm, now, out)
 
 
 def tell_cold(state: states.State, target: states.Target, out: list) -> None:
@@ -119,7 +137,7 @@
 def handle_pong(state: states.State, pong: message.Pong, now: float, out: list) -> None:
     """Take in a word; its age counts from this daemon's own ping."""
     word, asked_at = pong.word, pong.sent_at
-    if not asked_at <= now or now - asked_at > PEER_LOST_S:
+    if not asked_at <= now or now - asked_at > PONG_MAX_S:
         state.counters["pongs_old"] += 1
         return
     peer = state.peers.get(word.vm)
@@ -128,6 +146,7 @@
         state.peers[word.vm] = peer
     peer.address = word.address
     peer.heard_at = max(peer.heard_at, asked_at)
+    peer.asked_at = None
     peer.version = max(peer.version, word.version)
     peer.is_leaving = word.is_leaving
     peer.incarnation = word.incarnation
--- a/hyssopproxy/lifecycle.py
+++ b/hyssopproxy/lifecycle.py
@@ -7,12 +7,13 @@
 from hyssopproxy import fleet
 from hyssopproxy import share
 from hyssopproxy import state as states
+from hyssopproxy import target as targets
 from hyssopproxy import watch
 
 TICK_S = 0.1
 PAUSE_S = 0.6  # with no event for this long, ticks included, the process was paused
 LAG_DECAY = 0.97  # of the remembered lateness, each tick
-PROBE_S = 1.0  # between two status probes of a draining target
+PROBE_S = 1.0  # between two status probes of a target
 
 
 def note_time(state: states.State, now: float, out: list) -> None:
@@ -40,9 +41,10 @@
     fleet.handle_tick(state, now, out)
     watch.handle_tick(state, now, out)
     action.forget_old(state, now)
+    _end_cold_starts(state, now, out)
     _serve_waiting(state, now)
     if now >= state.next_probe_at:
-        _probe_draining(state, now, out)
+        _probe(state, now, out)
     _stop_when_due(state, now, out)
 
 
@@ -53,10 +55,18 @@
                 dispatch.serve_waiting(state, leaf, now)
 
 
-def _probe_draining(state: states.State, now: float, out: list) -> None:
+def _end_cold_starts(state: states.State, now: float, out: list) -> None:
+    for target in state.targets.values():
+        if target.is_cold:
+            targets.end_cold(target, now, out)
+
+
+def _probe(state: states.State, now: float, out: list) -> None:
+    """Ask draining targets, and cold ones that were not seen alive, for their status."""
     state.next_probe_at = now + PROBE_S * (0.5 + state.rng.random())
     for target in state.targets.values():
-        if target.is_draining and not target.spec.leaving:
+        is_unseen = target.is_cold and target.cold_since is None
+        if (target.is_draining or is_unseen) and not target.spec.leaving:
             out.append(effect.ProbeStatus(target.spec.address))
 
 
--- a/hyssopproxy/load.py
+++ b/hyssopproxy/load.py
@@ -77,6 +77,7 @@
         self._rng = random.Random(plan.seed)
         self._ready = list(plan.addresses)
         self._turn = 0
+        self.should_stop: typing.Callable[[], bool] = lambda: False  # ends the run early
 
     async def run(self, progress: typing.Callable[[str], None] | None = None) -> Report:
         """Send everything and return what came back."""
@@ -92,7 +93,7 @@
         calls = []
         start = planned = time.monotonic()
         told = start
-        while planned - start < self.plan.seconds:
+        while planned - start < self.plan.seconds and not self.should_stop():
             planned += self._rng.expovariate(self.plan.rate)
             delay = planned - time.monotonic()
             if delay > 0:
--- a/hyssopproxy/problem.py
+++ b/hyssopproxy/problem.py
@@ -38,6 +38,12 @@
     ACTION_SHED = (503, "retry after Retry-After with the same key")
     ACTION_UNKNOWN = (502, "look up whether the action ran before sending it with a new key")
 
+    def __new__(cls, status: int, remedy: str) -> "Kind":
+        # Kinds with the same status and remedy are still different kinds.
+        kind = object.__new__(cls)
+        kind._value_ = len(cls.__members__)
+        return kind
+
     def __init__(self, status: int, remedy: str) -> None:
         self.status = status
         self.remedy = remedy
--- a/hyssopproxy/settings.py
+++ b/hyssopproxy/settings.py
@@ -42,7 +42,7 @@
         platform=reader.place("platform"),
         peer_key=reader.text("peer_key", ""),
         seeds=reader.places("seeds"),
-        action_window_s=reader.number("action_window_s", 60.0, 1.0, 86400.0),
+        action_window_s=reader.number("action_window_s", 60.0, 6.0, 86400.0),
         stop_grace_s=reader.number("stop_grace_s", 5.0, 0.0, 300.0),
         seed=int(reader.number("seed", 0, 0, 2**31)),
     )
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -12,6 +12,7 @@
 from hyssopproxy.policy import base
 
 NEVER = float("-inf")
+LEASE_PART = 0.5  # of the action window; an owner of keys needs a fresher word than this
 
 
 @attrs.frozen
@@ -37,7 +38,7 @@
     resets: int = 0  # since the last good answer
     sheds: int = 0  # since the last good answer
     is_cold: bool = False
-    cold_since: float | None = None  # first good answer of the cold start
+    cold_since: float | None = None  # when it was first seen alive in its cold start
     cold_heard_at: float = NEVER
     is_draining: bool = False
     answered: bool = False  # ever
@@ -187,6 +188,7 @@
     address: str
     failure_domain: str
     heard_at: float = NEVER  # send time of our ping that it answered
+    asked_at: float | None = None  # send time of our oldest ping without an answer
     version: int = 0
     is_leaving: bool = False
     incarnation: int = 0
--- a/hyssopproxy/target.py
+++ b/hyssopproxy/target.py
@@ -95,19 +95,24 @@
 
 def record_answer(state: states.State, sub: states.Sub, now: float, out: list[effect.Log]) -> None:
     """Take in a good answer of a leaf."""
-    leaf, target = sub.leaf, sub.leaf.target
+    leaf = sub.leaf
     latency = now - sub.sent_at
     _observe_latency(leaf, latency)
     leaf.fault_rate *= 1.0 - FAULT_WEIGHT
     leaf.limit.record_answer(latency, leaf.in_flight)
+    record_alive(leaf.target, sub.sent_at, now)
+    if leaf.slow >= SLOW_TO_COLD:
+        set_cold(state, leaf.target, "slow", now, out)
+
+
+def record_alive(target: states.Target, sent_at: float, now: float) -> None:
+    """Take in any good reply: faults end, and the curve of a cold start begins."""
     target.answered = True
     target.resets = target.sheds = 0
-    if sub.sent_at >= target.backoff_until or target.backoff_until == states.NEVER:
+    if sent_at >= target.backoff_until or target.backoff_until == states.NEVER:
         target.faults = 0
-    if target.is_cold:
-        _advance_cold(state, target, now, out)
-    elif leaf.slow >= SLOW_TO_COLD:
-        set_cold(state, target, "slow", now, out)
+    if target.is_cold and target.cold_since is None:
+        target.cold_since = now
 
 
 def _observe_latency(leaf: states.Leaf, latency_s: float) -> None:
@@ -181,8 +186,12 @@
 def note_status(
     state: states.State, target: states.Target, said: event.TargetState | None, now: float, out
 ) -> None:
-    """Take in a status probe of a draining target: a live one has restarted, so it is cold."""
-    if said is None or said is event.TargetState.DRAINING or not target.is_draining:
+    """Take in a status probe: a live target that was draining has restarted, so it is cold."""
+    if said is None or said is event.TargetState.DRAINING:
+        return
+    if not target.is_draining:
+        if target.is_cold and target.cold_since is None:
+            target.cold_since = now  # it lives, so its curve begins, though no work came from here
         return
     target.is_draining = False
     out.append(effect.Log("target_back", {"target": target.spec.address}))
@@ -208,9 +217,10 @@
         fleet.tell_cold(state, target, out)
 
 
-def _advance_cold(state: states.State, target: states.Target, now: float, out: list) -> None:
-    if target.cold_since is None:
-        target.cold_since = now
+def end_cold(target: states.Target, now: float, out: list) -> None:
+    """End a cold start whose curve is through."""
+    if target.cold_since is None or not target.is_cold:
+        return
     if now - target.cold_since < target.service.spec.cold_start.length_s:
         return
     target.is_cold = False
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/processes/test_domain.py
@@ -0,0 +1,93 @@
+"""Failure domains out and back, draining targets and cold starts, by the ledgers."""
+
+import signal
+import time
+
+import pytest
+
+from bench import fleet as fleets
+from bench import process
+from tests.processes import traffic
+
+OUT_S = 3.0  # after this nothing new may arrive
+CLOCK_S = 0.1  # between the test's clock reading and the ledger's
+
+
+@pytest.fixture
+def fleet():
+    with fleets.running(fleets.make_layout(targets=3, vms=3, replicas=3)) as running:
+        yield running
+
+
+def test_domain_out_gets_no_new_work_and_returns_cold_with_full_coverage(fleet):
+    with traffic.running(fleet.layout, rate=30) as load:
+        process.wait_for(lambda: fleet.report("t1")["counts"].get("received"), "work")
+        told_at = time.time()
+        fleet.republish(out=("d2",))
+        time.sleep(OUT_S + 2.0)
+        assert fleet.report("t1")["last_received_at"] <= told_at + OUT_S + CLOCK_S
+        url = f"http://{fleet.layout.vms[1].listen}/readyz"
+        assert process.call(url)[0] == 503
+        before = fleet.report("t1")["counts"]["received"]
+        fleet.tell("t1", cold=True, silent=True)
+        fleet.republish()
+        process.wait_for(lambda: fleet.report("t1")["counts"]["received"] > before, "its return")
+        process.wait_for(lambda: not fleet.report("t1")["is_cold"], "the end of its cold start")
+    assert fleet.report("t1")["cold_excess"] == 0
+    report = load.result()
+    assert report["cut"] == report["late"] == 0
+    assert report["refused"] == {}
+    assert report["full"] == report["sent"]
+
+
+def test_draining_target_gets_no_new_work(fleet):
+    with traffic.running(fleet.layout, rate=30) as load:
+        process.wait_for(lambda: fleet.report("t0")["counts"].get("received"), "work")
+        fleet.tell("t0", state="draining")
+        told_at = time.time()
+        time.sleep(OUT_S + 1.0)
+    assert fleet.report("t0")["last_received_at"] <= told_at + OUT_S + CLOCK_S
+    report = load.result()
+    assert report["full"] == report["sent"]
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_restarted_target_gets_no_more_than_it_bears(fleet, silent):
+    place = fleet.layout.targets[0]
+    with traffic.running(fleet.layout, rate=30) as load:
+        process.wait_for(lambda: fleet.report("t0")["counts"].get("received"), "work")
+        fleet.targets["t0"].kill()
+        time.sleep(1.0)
+        place.cold = True
+        fleet.start_target(place)
+        process.wait_for(lambda: fleet.report("t0"), "the restart")
+        fleet.tell("t0", silent=silent)
+        process.wait_for(lambda: fleet.report("t0")["counts"].get("received"), "work again")
+        process.wait_for(lambda: not fleet.report("t0")["is_cold"], "the end of the cold start")
+    assert fleet.report("t0")["cold_excess"] == 0
+    report = load.result()
+    assert report["full"] == report["sent"]
+
+
+def test_all_replicas_cold_are_not_felled(fleet):
+    for target in fleet.layout.targets:
+        fleet.tell(target.name, cold=True)
+    with traffic.running(fleet.layout, rate=40, timeout_ms=300) as load:
+        process.wait_for(
+            lambda: not any(report["is_cold"] for report in fleet.reports()), "all to be warm"
+        )
+    report = load.result()
+    assert report["late"] == report["cut"] == 0
+    assert all(kind.endswith("/not_run") for kind in report["refused"])
+
+
+def test_frozen_target_holds_up_no_search(fleet):
+    fleet.targets["t2"].signal(signal.SIGSTOP)
+    try:
+        with traffic.running(fleet.layout, rate=20, timeout_ms=1000) as load:
+            time.sleep(4.0)
+    finally:
+        fleet.targets["t2"].signal(signal.SIGCONT)
+    report = load.result()
+    assert report["cut"] == report["late"] == 0
+    assert report["coverage"] > 0.97
--- /dev/null
+++ b/tests/processes/traffic.py
@@ -0,0 +1,53 @@
+"""Open-loop traffic beside a test, in a process of its own."""
+
+import asyncio
+import contextlib
+import json
+import multiprocessing
+import typing
+
+import attrs
+
+from bench import fleet as fleets
+from hyssopproxy import load
+
+LONGEST_S = 120.0
+
+
+@attrs.define
+class Traffic:
+    """Traffic that goes on until it is told to stop."""
+
+    stop: typing.Any
+    output: typing.Any
+    child: typing.Any
+
+    def result(self) -> dict:
+        """Return the summary, after the block of `running`."""
+        return json.loads(self.output.get(timeout=LONGEST_S))
+
+
+def _run(plan: load.Plan, stop: typing.Any, output: typing.Any) -> None:
+    async def main() -> None:
+        generator = load.Generator(plan)
+        generator.should_stop = stop.is_set
+        report = await generator.run()
+        output.put(json.dumps(report.summarize(1.0)))
+
+    asyncio.run(main())
+
+
+@contextlib.contextmanager
+def running(layout: fleets.Layout, rate: float, timeout_ms: int = 3000, vms=None):
+    """Send searches for the time of a block."""
+    context = multiprocessing.get_context("spawn")
+    addresses = tuple(vm.listen for vm in vms or layout.vms)
+    plan = load.Plan(addresses, fleets.SERVICE, rate, LONGEST_S, timeout_ms)
+    stop, output = context.Event(), context.Queue()
+    child = context.Process(target=_run, args=(plan, stop, output))
+    child.start()
+    try:
+        yield Traffic(stop, output, child)
+    finally:
+        stop.set()
+        child.join(LONGEST_S)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,232 @@
+"""Configuration, words of peers, shares and cold starts: the pure decisions."""
+
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from bench import fleet as fleets
+from hyssopproxy import effect
+from hyssopproxy import event
+from hyssopproxy import fleet
+from hyssopproxy import lifecycle
+from hyssopproxy import message
+from hyssopproxy import share
+from hyssopproxy import state as states
+from hyssopproxy import target
+from tests import world as worlds
+
+Verdict = target.Verdict
+
+
+@pytest.fixture
+def world():
+    made = worlds.World()
+    made.publish(5)
+    return made
+
+
+def verdicts(world):
+    state = world.state
+    return {
+        one.spec.failure_domain: target.judge_target(state, one, world.now)
+        for one in state.targets.values()
+    }
+
+
+def test_older_version_is_never_taken(world):
+    world.publish(4)
+    assert world.state.config.version == 5
+    assert world.state.counters["config_not_newer"] == 1
+
+
+def test_older_value_is_no_fresh_word(world):
+    fresh_at = world.state.fresh_at
+    world.now += 1
+    world.publish(4)
+    assert world.state.fresh_at == fresh_at
+
+
+@pytest.mark.parametrize("blob", [b"", b"[]", b"{", b'{"version": 9, "services": 3}', b"{}"])
+def test_bad_value_is_rejected_whole(world, blob):
+    got = world.post(event.ConfigArrived(blob, world.now))
+    assert world.state.config.version == 5
+    assert [one.name for one in worlds.find(got, effect.Log)] == ["config_rejected"]
+
+
+def test_new_version_spreads_at_once(world):
+    got = world.publish(6)
+    pings = [one for one in worlds.find(got, effect.SendPeer)]
+    assert [one.message.word.version for one in pings] == [6]
+
+
+def test_peer_with_a_newer_version_is_asked_and_its_value_checked_the_same(world):
+    got = world.pong(1, version=9)
+    assert message.Want(world.state.identity.peer_address, 5) in [
+        one.message for one in worlds.find(got, effect.SendPeer)
+    ]
+    bad = message.Value(9, b"no zlib")
+    world.post(event.PeerSpoke(bad))
+    assert world.state.config.version == 5
+    other = worlds.World(world.layout, vm=1)
+    other.publish(9)
+    want = message.Want(world.state.identity.peer_address, 5)
+    (value,) = worlds.find(other.post(event.PeerSpoke(want)), effect.SendPeer)
+    world.post(event.PeerSpoke(value.message))
+    assert world.state.config.version == 9
+
+
+def test_peer_passes_on_how_fresh_its_word_is(world):
+    world.now += 10
+    world.pong(1, version=5, fresh_age_ms=200, asked_at=world.now - 0.1)
+    assert world.state.fresh_at == pytest.approx(world.now - 0.3)
+
+
+def test_word_that_a_paused_daemon_sends_late_is_old(world):
+    world.now += 10
+    before = world.state.fresh_at
+    world.pong(1, version=5, fresh_age_ms=0, asked_at=world.now - 8)
+    assert world.state.fresh_at == before
+    assert world.state.peers["vm1"].heard_at == states.NEVER
+
+
+def test_cut_off_daemon_sends_only_into_its_own_domain(world):
+    assert set(verdicts(world).values()) == {Verdict.ROOM}
+    world.now += fleet.WORD_S + 0.1
+    assert verdicts(world) == {"d1": Verdict.ROOM, "d2": Verdict.NO_WORD, "d3": Verdict.NO_WORD}
+    world.pong(1, version=5, fresh_age_ms=60_000)
+    assert verdicts(world)["d2"] is Verdict.ROOM
+
+
+def test_domain_that_is_out_gets_nothing_and_returns_cold(world):
+    world.publish(6, out=("d2",))
+    assert verdicts(world)["d2"] is Verdict.OUT
+    world.publish(7)
+    assert {one.spec.failure_domain for one in world.state.targets.values() if one.is_cold} == {
+        "d2"
+    }
+
+
+def test_vm_of_a_domain_that_is_out_turns_unready_serves_a_while_then_refuses(world):
+    world.publish(6, out=("d1",))
+    assert lifecycle.explain_unready(world.state) == "failure_domain_out"
+    assert worlds.sends(world.search())
+    world.now += 10.1
+    world.refresh()
+    assert worlds.refusals(world.search())[0].kind.name == "FAILURE_DOMAIN_OUT"
+
+
+def test_draining_target_gets_nothing_until_a_probe_finds_it_back(world):
+    sent = worlds.sends(world.search())[0]
+    world.answer(sent, state=event.TargetState.DRAINING)
+    place = world.state.targets[sent.address]
+    assert target.judge_target(world.state, place, world.now) is Verdict.DRAINING
+    world.post(event.StatusArrived(sent.address, event.TargetState.DRAINING))
+    assert place.is_draining
+    world.post(event.StatusArrived(sent.address, event.TargetState.WARM))
+    assert place.is_cold and not place.is_draining
+
+
+def test_lost_connections_mean_cold_and_a_warm_header_does_not_end_it(world):
+    sent = worlds.sends(world.search())[0]
+    world.post(event.RequestEnded(sent.request_no, event.Failure.RESET))
+    place = world.state.targets[sent.address]
+    assert place.is_cold
+    target.note_state(world.state, place, event.TargetState.WARM, world.now, [])
+    assert place.is_cold
+
+
+def test_backoff_grows_and_probes_when_all_replicas_are_backed_off(world):
+    for _ in range(4):
+        for sent in worlds.sends(world.search()):
+            world.post(event.RequestEnded(sent.request_no, event.Failure.TIMEOUT))
+    assert set(verdicts(world).values()) == {Verdict.BACKED_OFF}
+    assert worlds.sends(world.search()), "one probe goes out rather than nothing"
+
+
+def test_success_that_began_before_the_backoff_does_not_end_it(world):
+    early = worlds.sends(world.search())[0]
+    place = world.state.targets[early.address]
+    for _ in range(2):
+        target.record_failure(world.state, place, event.Failure.TIMEOUT, world.now, world.now, [])
+    world.answer(early)
+    assert place.faults >= 2
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(st.integers(0, 500), st.integers(1, 60), st.text("abc", max_size=5))
+def test_parts_of_all_daemons_add_up_to_the_whole(total, count, key):
+    vms = tuple(f"vm{number}" for number in range(count))
+    parts = [share.split(total, key, vm, vms) for vm in vms]
+    assert sum(parts) == total
+    assert max(parts) - min(parts) <= 1
+
+
+def test_cold_target_bears_the_work_of_all_daemons_together():
+    layout = fleets.make_layout(targets=3, vms=5)
+    daemons = [worlds.World(layout, vm=number) for number in range(5)]
+    for daemon in daemons:
+        daemon.publish()
+    address = layout.targets[0].address
+    together = 0
+    for daemon in daemons:
+        place = daemon.state.targets[address]
+        target.set_cold(daemon.state, place, "test", daemon.now, [])
+        together += target.cold_permits(daemon.state, place, daemon.now)
+    assert together == max(1, int(0.1 * layout.targets[0].slots))
+
+
+def test_share_shrinks_at_once_and_grows_late():
+    world = worlds.World(fleets.make_layout(targets=3, vms=4))
+    world.publish(1)
+    removed = world.layout.vms.pop()
+    world.publish(2)
+    assert world.state.sharers == 4
+    world.post(event.Tick(world.now), share.SETTLE_S + 0.1)
+    assert world.state.sharers == 3
+    world.layout.vms.append(removed)
+    world.publish(3)
+    assert world.state.sharers == 4
+
+
+def test_one_daemon_hearing_of_a_cold_start_tells_its_peers(world):
+    place = next(iter(world.state.targets.values()))
+    world.pong(1, version=5, cold=(place.spec.address,))
+    assert place.is_cold
+
+
+def test_few_daemons_read_the_platform():
+    layout = fleets.make_layout(targets=3, vms=30, domains=("d1",))
+    worlds_ = [worlds.World(layout, vm=number) for number in range(30)]
+    readers = 0
+    for world in worlds_:
+        world.publish()
+        for number in range(30):
+            if layout.vms[number].vm != world.state.identity.vm:
+                world.pong(number)
+        readers += fleet.is_reader(world.state, world.now)
+    assert readers == fleet.READERS
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(st.binary(max_size=200))
+def test_any_bytes_of_a_peer_are_a_message_or_garbled(blob):
+    message.decode(blob)
+
+
+def test_message_survives_the_wire(world):
+    ping = message.Ping(fleet.make_word(world.state, world.now), 1.5)
+    assert message.decode(message.encode(ping)) == ping
+    assert message.decode(msgspec.msgpack.encode([9, 1])) is None
+
+
+def test_cold_start_goes_on_at_a_daemon_that_has_no_part_in_it(world):
+    place = next(iter(world.state.targets.values()))
+    target.set_cold(world.state, place, "test", world.now, [])
+    world.post(event.StatusArrived(place.spec.address, None))
+    assert place.cold_since is None
+    world.post(event.StatusArrived(place.spec.address, event.TargetState.WARM))
+    world.post(event.Tick(world.now), place.service.spec.cold_start.length_s - 0.1)
+    assert place.is_cold
+    world.post(event.Tick(world.now), 0.2)
+    assert not place.is_cold
