--- a/hyssopproxy/configuration.py
+++ b/hyssopproxy/configuration.py
@@ -12,6 +12,7 @@
 from hyssopproxy.policy import registry
 
 ROSTERS_KEPT = 50
+HEDGE_TOKENS = 5.0  # lets the first searches of a service hedge
 RETRY_TOKENS = 10.0  # lets a service with little traffic retry
 
 
@@ -88,7 +89,7 @@
         hedge=registry.HEDGES[spec.hedge](),
         wait=registry.WAITS[spec.wait](),
         replica=registry.REPLICAS[spec.replica](),
-        hedges=quantile.Budget(spec.hedge_percent / 100),
+        hedges=quantile.Budget(spec.hedge_percent / 100, HEDGE_TOKENS),
         retries=quantile.Budget(spec.retry_percent / 100, RETRY_TOKENS),
     )
     if known is not None:
--- a/hyssopproxy/policy/base.py
+++ b/hyssopproxy/policy/base.py
@@ -35,6 +35,10 @@
     def delay_s(self, quantile_s: float, median_s: float) -> float | None:
         """Return the delay before a hedge, or None for none; the shard's latencies in seconds."""
 
+    @abc.abstractmethod
+    def first_delay_s(self, timeout_s: float) -> float | None:
+        """Return the delay while the shard has no latencies yet, or None for no hedge."""
+
 
 class WaitPolicy(abc.ABC):
     """Says when a search stops waiting for shards."""
--- a/hyssopproxy/policy/hedge.py
+++ b/hyssopproxy/policy/hedge.py
@@ -4,6 +4,7 @@
 
 MIN_DELAY_S = 0.002  # a hedge sooner than this cannot beat the first request
 STRAGGLER_RATIO = 4.0  # of the median; finds stragglers that are more than the quantile leaves out
+FIRST_PART = 0.25  # of the timeout, before there are latencies to go by
 MARGIN = 1.25  # keeps ordinary jitter around the quantile from hedging
 
 
@@ -15,6 +16,9 @@
     def delay_s(self, quantile_s: float, median_s: float) -> float | None:
         return None
 
+    def first_delay_s(self, timeout_s: float) -> float | None:
+        return None
+
 
 class Quantile(base.HedgePolicy):
     """After a live quantile of the shard's latency ("The Tail at Scale", Dean, Barroso, 2013)."""
@@ -23,3 +27,6 @@
 
     def delay_s(self, quantile_s: float, median_s: float) -> float | None:
         return max(MIN_DELAY_S, min(quantile_s * MARGIN, median_s * STRAGGLER_RATIO))
+
+    def first_delay_s(self, timeout_s: float) -> float | None:
+        return FIRST_PART * timeout_s
--- a/hyssopproxy/search.py
+++ b/hyssopproxy/search.py
@@ -334,11 +334,13 @@
 
 
 def _hedge_at(query: states.Query, shard: str) -> float | None:
+    policy = query.service.hedge
     tracker = query.service.quantiles.get(shard)
     quantile_s = tracker.read() if tracker else None
     if quantile_s is None:
-        return None
-    delay_s = query.service.hedge.delay_s(quantile_s, tracker.median)
+        delay_s = policy.first_delay_s(query.deadline - query.arrived_at)
+    else:
+        delay_s = policy.delay_s(quantile_s, tracker.median)
     return None if delay_s is None else query.outstanding[shard][0].sent_at + delay_s
 
 
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -41,7 +41,6 @@
     cold_since: float | None = None  # when it was first seen alive in its cold start
     cold_heard_at: float = NEVER
     is_draining: bool = False
-    answered: bool = False  # ever
 
 
 @attrs.define(eq=False)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -230,3 +230,9 @@
     assert place.is_cold
     world.post(event.Tick(world.now), 0.2)
     assert not place.is_cold
+
+
+def test_target_that_refuses_connections_is_cold_though_it_never_answered(world):
+    sent = worlds.sends(world.search())[0]
+    world.post(event.RequestEnded(sent.request_no, event.Failure.CONNECT))
+    assert world.state.targets[sent.address].is_cold
