--- /dev/null
+++ b/bench/partition.py
@@ -0,0 +1,55 @@
+"""A failure domain cut off from the platform and its peers: service on each side."""
+
+import signal
+import time
+import typing
+
+from bench import base
+from bench import fleet as fleets
+from bench import move
+
+
+class Partition(base.Measurement):
+    """Service and coverage on both sides, during and after."""
+
+    name = "partition"
+    title = "one domain cut off from the platform and its peers; service on each side"
+    target = "full coverage on each side where replicas remain; nothing goes back at the heal"
+
+    def run(self) -> dict[str, typing.Any]:
+        layout = move.make_layout()
+        lone = layout.vms[0]
+        with fleets.running(layout) as fleet:
+            lone.platform = fleet.add_link("platform", fleet.platform_address)
+            peer = fleet.add_link("peer", lone.peer)
+            fleet.daemons[lone.vm].kill()
+            lone.peer_link = peer
+            fleet.start_daemon(lone)
+            fleet.wait_ready(lone)
+            version = fleet.republish()
+            time.sleep(3.0)
+            rows = [_serve(fleet, "before")]
+            fleet.disturb("platform", cut=True)
+            fleet.disturb("peer", cut=True)
+            for vm in layout.vms[1:]:
+                fleet.daemons[vm.vm].signal(signal.SIGSTOP)
+            time.sleep(4.0)
+            rows.append(_serve(fleet, "cut off", layout.vms[:1]))
+            for vm in layout.vms[1:]:
+                fleet.daemons[vm.vm].signal(signal.SIGCONT)
+            time.sleep(2.0)
+            rows.append(_serve(fleet, "the others", layout.vms[1:]))
+            fleet.disturb("platform", cut=False)
+            fleet.disturb("peer", cut=False)
+            time.sleep(2.0)
+            rows.append(_serve(fleet, "healed"))
+            versions = {state["version"] for state in fleet.states()}
+        ok = all(row["coverage"] == 1.0 for row in rows) and versions == {version}
+        return {"rows": rows, "versions": sorted(versions), "ok": ok}
+
+
+def _serve(fleet: fleets.Fleet, side: str, vms: list | None = None) -> dict[str, typing.Any]:
+    part = fleets.Layout(vms=vms or fleet.layout.vms)
+    sent = base.send_load(part, 15.0, 3.0)
+    keys = ("sent", "full", "coverage", "late", "refused", "p99_ms")
+    return {"side": side, **{key: sent[key] for key in keys}}
--- /dev/null
+++ b/bench/truth.py
@@ -0,0 +1,125 @@
+"""What callers are told, against the ledgers: snapshots and actions."""
+
+import collections
+import concurrent.futures
+import random
+import signal
+import time
+import typing
+
+from bench import base
+from bench import fleet as fleets
+from bench import move
+
+KEYS = 150
+
+
+class Snapshots(base.Measurement):
+    """New snapshots and a repartition under load."""
+
+    name = "snapshot"
+    title = "a new snapshot, the old one dropped, and a repartition to twice the shards under load"
+    target = "no mixed answer; coverage 1 but for what the ledgers explain"
+
+    def run(self) -> dict[str, typing.Any]:
+        layout = move.make_layout()
+        with fleets.running(layout) as fleet:
+            load = move.Beside(layout, 10.0)
+            time.sleep(2.0)
+            old = fleet.value["services"][fleets.SERVICE]["snapshots"]["s1"]
+            layout.shards *= 2
+            new = {"number": 2, "shards": fleets.make_shards(layout)}
+            self._publish(fleet, {"s1": old, "s2": new})
+            for target in layout.targets:
+                fleet.tell(target.name, snapshots=["s1"])  # published before it is loaded
+            time.sleep(1.0)
+            for target in layout.targets:
+                fleet.tell(target.name, snapshots=["s1", "s2"])
+                time.sleep(0.5)
+            for target in layout.targets:
+                fleet.tell(target.name, snapshots=["s2"])
+                time.sleep(0.3)
+            self._publish(fleet, {"s2": new})
+            sent = load.result()
+            gone = base.count(fleet, "snapshot_gone")
+            reruns = base.count_daemons(fleet, "reruns")
+        keys = ("sent", "answered", "full", "coverage", "mixed", "late", "missing", "refused")
+        only = set(sent["missing"]) <= {"snapshot_gone"}
+        return {
+            **{key: sent[key] for key in keys},
+            "told_gone": gone,
+            "reruns": reruns,
+            "ok": sent["mixed"] == 0 and only and (sent["coverage"] == 1.0 or gone > 0),
+        }
+
+    def _publish(self, fleet: fleets.Fleet, snapshots: dict) -> None:
+        value = {**fleet.value, "version": fleet.value["version"] + 1}
+        service = {**value["services"][fleets.SERVICE], "snapshots": snapshots}
+        value["services"] = {fleets.SERVICE: service}
+        fleet.publish(value)
+
+
+class Once(base.Measurement):
+    """Actions under kill, cut, freeze, loss and repeats through all daemons."""
+
+    name = "once"
+    title = "actions under kill, cut, freeze, loss, and repeats through three daemons"
+    target = "no key run twice; each not_run true by the ledgers"
+
+    def run(self) -> dict[str, typing.Any]:
+        layout = fleets.make_layout(3, 3, proxied=True)
+        said: dict[str, list[str]] = collections.defaultdict(list)
+        with fleets.running(layout) as fleet:
+            fleet.wait_settled()
+            self._send_all(fleet, said)
+            runs: collections.Counter = collections.Counter()
+            for report in fleet.reports():
+                runs.update(report["actions"])
+        first = [answers[0] for answers in said.values()]
+        lies = [
+            key
+            for key, answers in said.items()
+            if set(answers) == {"not_run"} and runs[key] or "done" in answers and runs[key] != 1
+        ]
+        most = max(runs.values())
+        return {
+            "keys": len(said),
+            "run_most": most,
+            "untrue": len(lies),
+            "first_said": dict(collections.Counter(first)),
+            "unknown_share": base.divide(first.count("unknown"), len(first)),
+            "unknown_but_not_run": sum(
+                "unknown" in answers and not runs[key] for key, answers in said.items()
+            ),
+            "ok": most == 1 and not lies,
+        }
+
+    def _send_all(self, fleet: fleets.Fleet, said: dict[str, list[str]]) -> None:
+        rng = random.Random(5)
+        steps = {
+            30: lambda: [fleet.disturb(t.name, stall_down=True) for t in fleet.layout.targets],
+            45: lambda: [fleet.disturb(t.name, stall_down=False) for t in fleet.layout.targets],
+            60: lambda: fleet.disturb("t0", cut=True),
+            75: lambda: fleet.disturb("t0", cut=False, loss=0.1),
+            90: lambda: fleet.daemons["vm1"].signal(signal.SIGSTOP),
+            105: lambda: fleet.daemons["vm1"].signal(signal.SIGCONT),
+            120: lambda: fleet.daemons["vm2"].kill(),
+        }
+        vms = fleet.layout.vms
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            for number in range(KEYS):
+                if number in steps:
+                    steps[number]()
+                alive = vms[:2] if number >= 120 else vms
+                for _ in range(rng.randint(1, 3)):
+                    pool.submit(_send, fleet, f"key{number}", rng.choice(alive), said)
+                time.sleep(0.08)
+
+
+def _send(fleet: fleets.Fleet, key: str, vm: fleets.VMSpec, said: dict[str, list[str]]) -> None:
+    try:
+        status, body, _ = fleet.act(vm, key, timeout_ms=700)
+    except OSError:
+        said[key].append("lost")
+        return
+    said[key].append("done" if status == 200 else body["execution"])
