--- a/hyssopproxy/dispatch.py
+++ b/hyssopproxy/dispatch.py
@@ -17,29 +17,34 @@
 ) -> tuple[states.Leaf | None, Verdict]:
     """Return a leaf with room for the shard; the verdict tells why there is none.
 
-    Leaves of the own failure domain go first.
+    Leaves of the own failure domain go first; those that said that the snapshot is gone go last,
+    since it may be there by now.
     """
     near: list[states.Leaf] = []
     far: list[states.Leaf] = []
+    doubtful: list[states.Leaf] = []
     verdict = Verdict.BACKED_OFF
     backed_off = []
     tried = query.tried.get(shard, ())
     name = query.route.snapshot.name
     home = state.identity.failure_domain
     for leaf in query.route.shards[shard]:
-        if leaf in tried or snapshot.is_gone(query.service, name, leaf):
+        if leaf in tried:
             continue
         judged = target.judge(state, leaf, now)
-        if judged is Verdict.ROOM:
+        if judged is Verdict.ROOM and snapshot.is_gone(query.service, name, leaf):
+            doubtful.append(leaf)
+        elif judged is Verdict.ROOM:
             tier = near if leaf.target.spec.failure_domain == home else far
             tier.append(leaf)
         elif judged is Verdict.BACKED_OFF:
             backed_off.append(leaf)
         elif verdict is not Verdict.FULL:
             verdict = judged
-    if near or far:
+    if near or far or doubtful:
         query.service.turn += 1
-        return query.service.replica.choose(near or far, query.service.turn), Verdict.ROOM
+        choice = near or far or doubtful
+        return query.service.replica.choose(choice, query.service.turn), Verdict.ROOM
     if backed_off and verdict is Verdict.BACKED_OFF:
         probe = target.find_probe(backed_off, now)
         return probe, Verdict.ROOM if probe else verdict
--- a/hyssopproxy/policy/hedge.py
+++ b/hyssopproxy/policy/hedge.py
@@ -3,9 +3,8 @@
 from hyssopproxy.policy import base
 
 MIN_DELAY_S = 0.002  # a hedge sooner than this cannot beat the first request
-STRAGGLER_RATIO = 4.0  # of the median; finds stragglers that are more than the quantile leaves out
+STRAGGLER_RATIO = 3.0  # of the median; finds stragglers that are more than the quantile leaves out
 FIRST_PART = 0.25  # of the timeout, before there are latencies to go by
-MARGIN = 1.25  # keeps ordinary jitter around the quantile from hedging
 
 
 class NoHedge(base.HedgePolicy):
@@ -26,7 +25,7 @@
     name = "quantile"
 
     def delay_s(self, quantile_s: float, median_s: float) -> float | None:
-        return max(MIN_DELAY_S, min(quantile_s * MARGIN, median_s * STRAGGLER_RATIO))
+        return max(MIN_DELAY_S, min(quantile_s, median_s * STRAGGLER_RATIO))
 
     def first_delay_s(self, timeout_s: float) -> float | None:
         return FIRST_PART * timeout_s
--- a/hyssopproxy/search.py
+++ b/hyssopproxy/search.py
@@ -189,6 +189,7 @@
         return
     query = sub.query
     target.record_answer(state, sub, now, out)
+    snapshot.note_served(query.service, sub.snapshot, sub.leaf)
     query.service.record_latency(sub.shard, now - sub.sent_at)
     is_wanted = _is_live(state, sub) and sub.shard not in query.answered
     dispatch.release(state, sub, now)
--- a/hyssopproxy/snapshot.py
+++ b/hyssopproxy/snapshot.py
@@ -2,7 +2,7 @@
 
 from hyssopproxy import state as states
 
-GONE_S = 10.0  # how long a target's "snapshot_gone" is believed
+GONE_S = 2.0  # how long a target's "snapshot_gone" is believed
 
 
 def choose(
@@ -27,6 +27,12 @@
     service.gone[(snapshot, leaf.target.spec.name)] = now + GONE_S
 
 
+def note_served(service: states.Service, snapshot: str, leaf: states.Leaf) -> None:
+    """Take in that a target serves a snapshot after all."""
+    if service.gone:
+        service.gone.pop((snapshot, leaf.target.spec.name), None)
+
+
 def is_gone(service: states.Service, snapshot: str, leaf: states.Leaf) -> bool:
     """Return whether the target said that it does not serve the snapshot."""
     return (snapshot, leaf.target.spec.name) in service.gone
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -12,6 +12,7 @@
 from hyssopproxy.policy import base
 
 NEVER = float("-inf")
+HEDGE_RANK_PART = 0.7  # of the hedge budget that the delay's quantile plans to spend
 LEASE_PART = 0.5  # of the action window; an owner of keys needs a fresher word than this
 
 
@@ -97,7 +98,7 @@
         """Take in the latency of one answer of a shard."""
         tracker = self.quantiles.get(shard)
         if tracker is None:
-            rank = 1.0 - self.spec.hedge_percent / 200.0
+            rank = 1.0 - HEDGE_RANK_PART * self.spec.hedge_percent / 100.0
             tracker = self.quantiles[shard] = quantile.Tracker(rank)
         tracker.record(latency_s)
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -284,3 +284,22 @@
     hedges = worlds.sends(world.post(event.SearchDue(world.number), 0.25))
     assert hedges
     assert first.searches[0].shard in {sub.shard for one in hedges for sub in one.searches}
+
+
+def answer_all(world, sent, **changes):
+    """Answer requests, and what they lead to, until nothing is in flight."""
+    got = []
+    while sent:
+        step = world.answer(sent.pop(0), **changes)
+        sent += worlds.sends(step)
+        got += step
+    return got
+
+
+def test_snapshot_that_all_said_is_gone_is_tried_again_rather_than_refused(world):
+    answer_all(world, worlds.sends(world.search()), error="snapshot_gone")
+    (answer,) = worlds.answers(answer_all(world, worlds.sends(world.search())))
+    assert answer.coverage.shards_answered == 6
+    assert not any(
+        route.snapshot.name != "s1" for route in world.state.services[fleets.SERVICE].routes
+    )
