--- a/bench/tail.py
+++ b/bench/tail.py
@@ -63,9 +63,7 @@
 
 def _run_deadline(wait: str) -> dict[str, typing.Any]:
     service = {"wait": {"policy": wait, "enough_coverage": 0.9}}
-    layout = fleets.make_layout(
-        5, 2, TARGET, shards=25, replicas=2, service=service, proxied=True
-    )
+    layout = fleets.make_layout(5, 2, TARGET, shards=25, replicas=2, service=service, proxied=True)
     with fleets.running(layout) as fleet:
         base.send_load(layout, RATE, 3.0, 400)
         fleet.targets["t0"].signal(signal.SIGSTOP)
--- a/hyssopproxy/ctl.py
+++ b/hyssopproxy/ctl.py
@@ -31,7 +31,7 @@
 def check(folder: pathlib.Path) -> None:
     """Check all service files of a folder and print every fault with its remedy.
 
-    :param folder: folder of *.toml files
+    :param folder: folder of .toml files
     """
     tables = servicefile.read_dir(folder)
     print(f"{len(tables)} services are in order: {', '.join(sorted(tables))}")
--- /dev/null
+++ b/tests/processes/test_server.py
@@ -0,0 +1,86 @@
+"""What callers and operators see over HTTP, and the command-line tool."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from bench import fleet as fleets
+from bench import process
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with fleets.running(fleets.make_layout(targets=2, vms=1, replicas=1)) as running:
+        yield running
+
+
+@pytest.mark.parametrize(
+    ("service", "body", "headers", "status", "kind"),
+    [
+        (fleets.SERVICE, b"{", {}, 400, "bad_request"),
+        (fleets.SERVICE, b"[]", {}, 400, "bad_request"),
+        (fleets.SERVICE, b'{"query": 1, "colour": 2}', {}, 400, "bad_request"),
+        (fleets.SERVICE, b'{"query": "' + b"x" * 70000 + b'"}', {}, 413, "body_too_large"),
+        (fleets.SERVICE, b'{"query": 1}', {"Request-Timeout-Ms": "soon"}, 400, "bad_deadline"),
+        ("none", b'{"query": 1}', {}, 404, "unknown_service"),
+    ],
+)
+def test_bad_request_gets_a_problem_with_a_remedy(fleet, service, body, headers, status, kind):
+    url = f"http://{fleet.layout.vms[0].listen}/v1/services/{service}/search"
+    got, told, answered = process.call(url, body, headers)
+    assert (got, told["kind"], told["execution"]) == (status, kind, "not_run")
+    assert told["remedy"]
+    assert answered["content-type"] == "application/problem+json"
+
+
+def test_request_id_is_echoed(fleet):
+    url = f"http://{fleet.layout.vms[0].listen}/v1/services/{fleets.SERVICE}/search"
+    _, body, headers = process.call(url, {"query": 1}, {"Request-Id": "mine"})
+    assert (body["request_id"], headers["request-id"]) == ("mine", "mine")
+
+
+def test_metrics_and_state_are_served_to_operators(fleet):
+    vm = fleet.layout.vms[0]
+    fleet.search(vm)
+    text = process.call(f"http://{vm.admin}/metrics")[1]
+    assert "hyssopproxy_searches_total" in text
+    assert 'hyssopproxy_search_seconds{quantile="0.99"}' in text
+    assert fleet.state(vm)["version"] == 1
+    assert process.call(f"http://{vm.listen}/state")[0] == 404
+
+
+def run_ctl(*flags):
+    return subprocess.run(
+        [sys.executable, "-m", "hyssopproxy.ctl", *flags], capture_output=True, text=True
+    )
+
+
+def test_tool_searches_shows_status_and_makes_load(fleet):
+    vm = fleet.layout.vms[0]
+    found = run_ctl("search", vm.listen, fleets.SERVICE, "q", "--limit", "1")
+    assert found.returncode == 0 and len(json.loads(found.stdout)["hits"]) == 1
+    table = run_ctl("status", vm.admin)
+    assert table.returncode == 0 and "vm0" in table.stdout
+    load = run_ctl("load", fleets.SERVICE, vm.listen, "--rate", "20", "--seconds", "1", "--as-json")
+    assert load.returncode == 0 and json.loads(load.stdout)["cut"] == 0
+    refused = run_ctl("act", vm.listen, fleets.SERVICE, "none")
+    assert refused.returncode == 1 and json.loads(refused.stdout)["kind"] == "unknown_action"
+
+
+@pytest.mark.parametrize("flags", [("search", "127.0.0.1:1", "s", "q"), ("check", "/nonexistent")])
+def test_tool_tells_errors_without_a_traceback(flags):
+    told = run_ctl(*flags)
+    assert told.returncode == 2
+    assert told.stderr.startswith("hyssopctl: ") and "Traceback" not in told.stderr
+
+
+def test_daemon_refuses_faulty_settings_whole():
+    told = subprocess.run(
+        [sys.executable, "-m", "hyssopproxy.daemon", "--listen", "x"],
+        capture_output=True,
+        text=True,
+    )
+    assert told.returncode == 2
+    assert "--vm" in told.stderr and "--listen" in told.stderr and "--platform" in told.stderr
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,39 @@
+"""Settings: flags first, every fault at once."""
+
+import pytest
+
+from hyssopproxy import problem
+from hyssopproxy import settings
+
+FLAGS = {
+    "vm": "vm0",
+    "failure_domain": "d1",
+    "listen": "127.0.0.1:80",
+    "peer": "127.0.0.1:81",
+    "platform": "127.0.0.1:82",
+}
+
+
+def test_flag_goes_before_environment():
+    read = settings.read(FLAGS, {"HYSSOPPROXY_VM": "other", "HYSSOPPROXY_STOP_GRACE_S": "9"})
+    assert (read.vm, read.stop_grace_s) == ("vm0", 9.0)
+
+
+def test_every_fault_is_told_at_once():
+    flags = {**FLAGS, "listen": "localhost:80", "stop_grace_s": "soon", "peer_key": "short"}
+    with pytest.raises(problem.UserError) as error:
+        settings.read(flags, {"HYSSOPPROXY_COLOUR": "red"})
+    text = str(error.value)
+    for told in ("--listen", "no IP number", "--stop-grace-s", "--peer-key", "HYSSOPPROXY_COLOUR"):
+        assert told in text
+
+
+def test_missing_settings_are_all_named():
+    with pytest.raises(problem.UserError) as error:
+        settings.read({}, {})
+    assert len(error.value.faults) == 5
+
+
+def test_peers_off_loopback_need_a_key():
+    with pytest.raises(problem.UserError, match="hyssopctl key"):
+        settings.read({**FLAGS, "peer": "10.0.0.1:81"}, {})
