--- a/hyssopproxy/search.py
+++ b/hyssopproxy/search.py
@@ -1,7 +1,5 @@
 """Searches: admission, hedges, retries, the deadline and the merged answer."""
 
-import heapq
-
 from hyssopproxy import dispatch
 from hyssopproxy import effect
 from hyssopproxy import event
@@ -409,13 +407,6 @@
 
 def merge(query: states.Query) -> wire.Answer:
     """Return the answer: best first, no hit twice, every missing shard with its reason."""
-    best: dict[str, wire.MergedHit] = {}
-    for shard, hits in query.answered.items():
-        for hit in hits:
-            known = best.get(hit.id)
-            if known is None or hit.score > known.score:
-                best[hit.id] = wire.MergedHit(hit.id, hit.score, shard)
-    hits = heapq.nsmallest(query.limit, best.values(), key=lambda hit: (-hit.score, hit.id))
     missing = [
         wire.Missing(shard, query.missing.get(shard, "deadline"))
         for shard in query.route.shards
@@ -423,4 +414,16 @@
     ]
     total = len(query.route.shards)
     coverage = wire.Coverage(total, total - len(missing), missing)
+    hits = _merge_hits(query.answered, query.limit)
     return wire.Answer(query.request_id, query.route.snapshot.name, coverage, hits)
+
+
+def _merge_hits(answered: dict[str, list[wire.Hit]], limit: int) -> list[wire.MergedHit]:
+    ranked = sorted((-hit.score, hit.id, shard) for shard, hits in answered.items() for hit in hits)
+    merged: dict[str, wire.MergedHit] = {}
+    for negative, hit_id, shard in ranked:
+        if len(merged) == limit:
+            break
+        if hit_id not in merged:
+            merged[hit_id] = wire.MergedHit(hit_id, -negative, shard)
+    return list(merged.values())
