Admission, merging, freshness and bodies in modules of their own; no body can harm a batch

Cause: 30,000 nested brackets or a 5,000-digit timeout raised inside the handler (500), and a query that a target cannot decode would fail the whole request that other callers share.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hyssopproxy import fleet
+from hyssopproxy import freshness
 from hyssopproxy import watch
 
 
@@ -209,8 +210,8 @@
         (
             "a rack lost (10 VMs)",
             f"{rack / TARGET.daemons:.1%} of keys refused until the list drops them and the window "
-            f"ends; searches go on, pings find them silent in {fleet.SILENT_S:g} s",
-            "`fleet.is_silent`, backoff in `target`",
+            f"ends; searches go on, pings find them silent in {freshness.SILENT_S:g} s",
+            "`freshness.is_silent`, backoff in `target`",
         ),
         (
             "a domain lost at full load",
@@ -222,7 +223,7 @@
             "a region cut off (3 of 7 domains)",
             f"the rest needs {7 / 4 - 1:.0%} in spare if its callers move; the region goes on with "
             "its own domains as long as peers there speak",
-            "`fleet.has_word`",
+            "`freshness.has_word`",
         ),
         (
             "full fleet restart",
--- a/hyssopproxy/action.py
+++ b/hyssopproxy/action.py
@@ -4,16 +4,17 @@
 
 import msgspec
 
+from hyssopproxy import admission
 from hyssopproxy import dispatch
 from hyssopproxy import effect
 from hyssopproxy import event
-from hyssopproxy import fleet
+from hyssopproxy import freshness
 from hyssopproxy import message
 from hyssopproxy import problem
-from hyssopproxy import search
 from hyssopproxy import share
 from hyssopproxy import state as states
 from hyssopproxy import target
+from hyssopproxy import wire
 
 MAX_KEY_CHARS = 200
 KEEP_S = 3600.0  # an outcome is remembered this long
@@ -33,14 +34,14 @@
         _refuse(state, arrived.action_no, arrived.origin, refusal, out)
         return
     spec = state.services[arrived.service].spec
-    timeout_s = search.read_timeout_s(arrived.timeout_ms, spec)
+    timeout_s = admission.read_timeout_s(arrived.timeout_ms, spec)
     owner = share.owner(_owner_key(arrived.service, arrived.key), state.rosters[-1].owners)
     action = states.Action(
         number=arrived.action_no,
         service=arrived.service,
         key=arrived.key,
         body=arrived.body,
-        deadline=now + timeout_s * (1.0 - search.MARGIN_PART),
+        deadline=now + timeout_s * (1.0 - admission.MARGIN_PART),
         origin=arrived.origin,
         owner=owner,
     )
@@ -69,7 +70,7 @@
     if name not in service.spec.non_idempotent:
         known = ", ".join(service.spec.non_idempotent) or "none"
         return problem.Problem(Kind.UNKNOWN_ACTION, f"action = {name!r}; known: {known}")
-    timeout_s = search.read_timeout_s(arrived.timeout_ms, service.spec)
+    timeout_s = admission.read_timeout_s(arrived.timeout_ms, service.spec)
     if isinstance(timeout_s, problem.Problem):
         return timeout_s
     if not state.rosters[-1].owners:
@@ -83,7 +84,7 @@
 
 
 def _pass_on(state: states.State, action: states.Action, now: float, out: list) -> None:
-    if fleet.is_silent(state, action.owner, now):
+    if freshness.is_silent(state, action.owner, now):
         detail = f"VM {action.owner} owns the key and leaves pings unanswered"
         _finish(state, action, _unreachable(detail), out)
         return
@@ -112,16 +113,16 @@
 
 def _own(state: states.State, action: states.Action, now: float, out: list) -> None:
     """Answer a repeat from memory; run a new key only when no other daemon can have run it."""
-    print_ = _fingerprint(action.body)
+    fingerprint = _fingerprint(action.body)
     known = state.outcomes.get((action.service, action.key))
     if known is not None:
-        _repeat(state, action, known, print_, out)
+        _repeat(state, action, known, fingerprint, out)
         return
     refusal = _doubt(state, action, now)
     if refusal is not None:
         _finish(state, action, refusal, out)
         return
-    state.outcomes[(action.service, action.key)] = states.Outcome(print_, now)
+    state.outcomes[(action.service, action.key)] = states.Outcome(fingerprint, now)
     _try_target(state, action, now, out)
 
 
@@ -130,10 +131,10 @@
 
 
 def _repeat(
-    state: states.State, action: states.Action, known: states.Outcome, print_: bytes, out: list
+    state: states.State, action: states.Action, known: states.Outcome, fingerprint: bytes, out: list
 ) -> None:
     state.counters["actions_repeated"] += 1
-    if known.fingerprint != print_:
+    if known.fingerprint != fingerprint:
         detail = "the key came before with another body; the first one stands"
         _finish(state, action, problem.Problem(Kind.KEY_REUSED, detail), out)
     elif known.status == RUNNING:
@@ -307,7 +308,7 @@
     """Run an action that another daemon passed on; numbers of daemons are kept apart."""
     try:
         body = msgspec.json.decode(passed.body)
-    except msgspec.DecodeError:
+    except wire.DECODE_ERRORS:
         state.counters["peer_messages_garbled"] += 1
         return
     arrived = event.ActionArrived(
--- a/hyssopproxy/config.py
+++ b/hyssopproxy/config.py
@@ -7,6 +7,7 @@
 from hyssopproxy import model
 from hyssopproxy import option
 from hyssopproxy import servicefile
+from hyssopproxy import wire
 
 
 @attrs.frozen
@@ -28,7 +29,7 @@
         return Rejected((f"{len(blob)} bytes: publish at most {model.MAX_CONFIG_BYTES}",))
     try:
         value = msgspec.json.decode(blob)
-    except msgspec.DecodeError as error:
+    except wire.DECODE_ERRORS as error:
         return Rejected((f"not JSON: {error}: publish the output of hyssopctl collect",))
     if not isinstance(value, dict):
         return Rejected(("no JSON object: publish the output of hyssopctl collect",))
--- a/hyssopproxy/effect.py
+++ b/hyssopproxy/effect.py
@@ -44,13 +44,6 @@
     items: tuple[tuple[str, str], ...]  # request id and shard
 
 
-@attrs.frozen
-class CancelRequest:
-    """Stop reading a reply that nobody waits for and close its connection."""
-
-    request_no: int
-
-
 @attrs.frozen
 class SendAction:
     """Send an action to a target, unless it is past `not_after`."""
--- a/hyssopproxy/fleet.py
+++ b/hyssopproxy/fleet.py
@@ -4,6 +4,7 @@
 
 from hyssopproxy import configuration
 from hyssopproxy import effect
+from hyssopproxy import freshness
 from hyssopproxy import message
 from hyssopproxy import model
 from hyssopproxy import share
@@ -11,25 +12,13 @@
 
 PING_S = 1.0  # between two pings of a daemon in the own failure domain
 FAR_PING_S = 5.0  # to the other failure domains while the platform's word is fresh
-WORD_S = 2.5  # a word older than this moves no work to another failure domain
 LOST_WORD_S = 1.5  # a platform word older than this makes pings go to all domains each time
-SILENT_S = 2.5  # a peer that leaves pings unanswered this long is lost
 PONG_MAX_S = 5.0  # a later pong is dropped whole
 ROUND_TRIP_MAX_S = 1.0  # a pong later than this brings no news of targets
 SPREAD = 4  # daemons that hear of a new version at once
 READERS = 2  # daemons of a failure domain that watch the platform
 
 
-def has_word(state: states.State, domain: str, now: float) -> bool:
-    """Return whether work may go to another failure domain: the platform or a peer there spoke."""
-    if now - state.fresh_at <= WORD_S:
-        return True
-    return any(
-        peer.failure_domain == domain and now - peer.heard_at <= WORD_S
-        for peer in state.peers.values()
-    )
-
-
 def is_reader(state: states.State, now: float) -> bool:
     """Return whether this daemon is one of its failure domain's readers of the platform."""
     me = state.identity
@@ -38,16 +27,12 @@
     for vm in state.config.vms.values():
         if vm.failure_domain != me.failure_domain or vm.id == me.vm:
             continue
-        ahead += (share.score("reader", vm.id), vm.id) > mine and not is_silent(state, vm.id, now)
+        ahead += (share.score("reader", vm.id), vm.id) > mine and not freshness.is_silent(
+            state, vm.id, now
+        )
     return ahead < READERS
 
 
-def is_silent(state: states.State, vm: str, now: float) -> bool:
-    """Return whether a daemon left pings unanswered for too long."""
-    peer = state.peers.get(vm)
-    return peer is not None and peer.asked_at is not None and now - peer.asked_at > SILENT_S
-
-
 def make_word(state: states.State, now: float) -> message.Word:
     """Return this daemon's own word."""
     me = state.identity
@@ -97,7 +82,7 @@
             domains.setdefault(vm.failure_domain, []).append(vm)
     near = domains.pop(state.identity.failure_domain, [])
     near.sort(key=lambda vm: -share.score("reader", vm.id))
-    speaking = [vm for vm in near if not is_silent(state, vm.id, now)]
+    speaking = [vm for vm in near if not freshness.is_silent(state, vm.id, now)]
     chosen = [state.rng.choice(speaking[:READERS])] if speaking else []
     if near:
         chosen.append(state.rng.choice(near))
@@ -119,12 +104,6 @@
         _ping(state, vm, now, out)
 
 
-def tell_cold(state: states.State, target: states.Target, out: list) -> None:
-    """Put a cold start seen by this daemon into its next words, which go out at once."""
-    state.cold_news.append(target.spec.address)
-    state.next_ping_at = states.NEVER
-
-
 def handle_ping(state: states.State, ping: message.Ping, now: float, out: list) -> None:
     """Answer a ping; its word may be old, so it only hints at a newer version."""
     out.append(
--- a/hyssopproxy/message.py
+++ b/hyssopproxy/message.py
@@ -80,5 +80,5 @@
     """Return the message, or None for a garbled one."""
     try:
         return DECODER.decode(blob)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
--- a/hyssopproxy/search.py
+++ b/hyssopproxy/search.py
@@ -1,5 +1,7 @@
-"""Searches: admission, hedges, retries, the deadline and the merged answer."""
+"""Searches in progress: hedges, retries, reruns and the deadline."""
 
+from hyssopproxy import admission
+from hyssopproxy import answer
 from hyssopproxy import dispatch
 from hyssopproxy import effect
 from hyssopproxy import event
@@ -9,27 +11,30 @@
 from hyssopproxy import target
 from hyssopproxy import wire
 
-MARGIN_S = 0.004  # for the way back to the caller
-MARGIN_PART = 0.05  # of the timeout, where that is more
-MAX_MARGIN_PART = 0.4
-MIN_RERUN_S = 0.005
-LONGEST_WAIT_PART = 0.8  # of the time left that a shard may wait for room
-OUT_GRACE_S = 10.0  # an entry VM of a domain that is out serves this long
-OVERLOAD_RETRY_S = 1
-LATE_PART = 0.1  # of the timeout; a loop further behind takes no new search
+MIN_RERUN_S = 0.005  # a rerun with less time left cannot end
 Verdict = target.Verdict
 
+# What a target's error is called in the coverage.
+_ERRORS = {
+    "snapshot_gone": "snapshot_gone",
+    "shed": "overloaded",
+    "draining": "draining",
+    "expired": "deadline",
+    "unknown_shard": "unknown_shard",
+}
+_FREE_ERRORS = ("draining", "snapshot_gone", "unknown_shard")  # the target did no work
+
 
 def handle_arrived(
     state: states.State, arrived: event.SearchArrived, now: float, out: list
 ) -> None:
     """Admit a search and send its sub-searches, or refuse it at once."""
-    query = admit(state, arrived, now)
+    query = admission.admit(state, arrived, now)
     if isinstance(query, problem.Problem):
         state.counters[f"refused_{query.kind.name.lower()}"] += 1
         out.append(effect.Refuse(arrived.query_no, query))
         return
-    refusal = _start(state, query, now)
+    refusal = admission.start(state, query, now)
     if refusal is not None:
         state.counters["refused_overloaded"] += 1
         out.append(effect.Refuse(arrived.query_no, refusal))
@@ -41,109 +46,6 @@
         _schedule(query, now, out)
 
 
-def admit(
-    state: states.State, arrived: event.SearchArrived, now: float
-) -> states.Query | problem.Problem:
-    """Return the search to run, or why it is refused; nothing has been sent yet."""
-    refusal = refuse_by_state(state, now)
-    if refusal is not None:
-        return refusal
-    service = state.services.get(arrived.service)
-    if service is None:
-        return problem.Problem(problem.Kind.UNKNOWN_SERVICE, f"no service {arrived.service!r}")
-    timeout_s = read_timeout_s(arrived.timeout_ms, service.spec)
-    if isinstance(timeout_s, problem.Problem):
-        return timeout_s
-    limit = service.spec.results if arrived.limit is None else arrived.limit
-    if type(limit) is not int or not 0 < limit <= service.spec.results:
-        detail = f"limit = {limit!r}: give a whole number from 1 to {service.spec.results}"
-        return problem.Problem(problem.Kind.BAD_REQUEST, detail)
-    if state.late_s > LATE_PART * timeout_s:
-        return _overloaded(f"this process is {state.late_s * 1000:.0f} ms behind")
-    if service.in_flight >= service.spec.queries_in_flight:
-        return _overloaded("too many searches in flight")
-    route = snapshot.choose(service, now)
-    if route is None:
-        return problem.Problem(problem.Kind.NO_SNAPSHOT, "the service has no snapshot")
-    margin_s = max(MARGIN_S, MARGIN_PART * timeout_s, state.lag_s)
-    return states.Query(
-        number=arrived.query_no,
-        request_id=arrived.request_id,
-        service=service,
-        text=arrived.query,
-        limit=limit,
-        arrived_at=now,
-        deadline=now + timeout_s - min(margin_s, MAX_MARGIN_PART * timeout_s),
-        latest=now + timeout_s,
-        route=route,
-    )
-
-
-def refuse_by_state(state: states.State, now: float) -> problem.Problem | None:
-    """Return why this daemon takes no work at all at present."""
-    if state.config is None:
-        return problem.Problem(
-            problem.Kind.NO_CONFIGURATION, "no configuration yet", retry_after_s=1
-        )
-    if state.out_since is not None and now - state.out_since >= OUT_GRACE_S:
-        detail = f"failure domain {state.identity.failure_domain} is out of service"
-        return problem.Problem(problem.Kind.FAILURE_DOMAIN_OUT, detail)
-    return None
-
-
-def read_timeout_s(header: str | None, spec) -> float | problem.Problem:
-    """Return the caller's timeout in seconds, or the service's default."""
-    if header is None:
-        return spec.default_ms / 1000
-    if header.isascii() and header.isdigit() and 0 < int(header) <= spec.max_ms:
-        return int(header) / 1000
-    detail = f"Request-Timeout-Ms = {header!r}: give a whole number from 1 to {spec.max_ms}"
-    return problem.Problem(problem.Kind.BAD_DEADLINE, detail)
-
-
-def _overloaded(detail: str) -> problem.Problem:
-    return problem.Problem(problem.Kind.OVERLOADED, detail, retry_after_s=OVERLOAD_RETRY_S)
-
-
-def _start(state: states.State, query: states.Query, now: float) -> problem.Problem | None:
-    """Send or queue every shard; when one cannot be in time, take all back and refuse."""
-    limit_s = LONGEST_WAIT_PART * (query.deadline - now)
-    picked = []
-    waiting = []
-    for shard in query.route.shards:
-        leaf, verdict = dispatch.pick(state, query, shard, now)
-        if leaf is not None:
-            leaf.in_flight += 1  # holds the room against the next shards of this search
-            picked.append((shard, leaf))
-        elif verdict is Verdict.FULL:
-            waiting.append(shard)
-        else:
-            query.missing[shard] = verdict.value
-    for _, leaf in picked:
-        leaf.in_flight -= 1
-    for shard in waiting:
-        wait_s = _expect_wait_s(state, query, shard, now)
-        if wait_s > limit_s:
-            return _overloaded(f"shard {shard} would wait {wait_s * 1000:.0f} ms for room")
-    if query.missing and not picked and not waiting:
-        return _overloaded(f"no target can take work: {next(iter(query.missing.values()))}")
-    for shard, leaf in picked:
-        dispatch.send(state, query, shard, leaf, now)
-    for shard in waiting:
-        dispatch.wait(state, query, shard, now)
-    return None
-
-
-def _expect_wait_s(state: states.State, query: states.Query, shard: str, now: float) -> float:
-    leaves = query.route.shards[shard]
-    waits = [
-        target.expect_wait_s(state, leaf, now)
-        for leaf in leaves
-        if target.judge(state, leaf, now) is Verdict.FULL
-    ]
-    return min(waits, default=0.0) / max(1, len(waits))
-
-
 def handle_lines(state: states.State, arrived: event.LinesArrived, now: float, out: list) -> None:
     """Take in lines of a target's reply; a line that was not asked for is a fault."""
     request = state.requests.get(arrived.request_no)
@@ -172,7 +74,9 @@
     return line.snapshot == sub.snapshot and line.complete
 
 
-def _take_garbled(state, request: states.Request, sub: states.Sub | None, now, out) -> None:
+def _take_garbled(
+    state: states.State, request: states.Request, sub: states.Sub | None, now: float, out: list
+) -> None:
     state.counters["lines_garbled"] += 1
     garbled = event.Failure.GARBLED
     target.record_failure(state, request.target, garbled, request.sent_at, now, out)
@@ -181,7 +85,9 @@
         _fail(state, sub, "target_fault", now, is_paid=True)
 
 
-def _take_line(state: states.State, sub: states.Sub, line: wire.Line, now: float, out) -> None:
+def _take_line(
+    state: states.State, sub: states.Sub, line: wire.Line, now: float, out: list
+) -> None:
     if line.error:
         _take_error(state, sub, line.error, now, out)
         return
@@ -221,16 +127,6 @@
     _fail(state, sub, reason, now, is_paid=error not in _FREE_ERRORS)
 
 
-_ERRORS = {
-    "snapshot_gone": "snapshot_gone",
-    "shed": "overloaded",
-    "draining": "draining",
-    "expired": "deadline",
-    "unknown_shard": "unknown_shard",
-}
-_FREE_ERRORS = ("draining", "snapshot_gone", "unknown_shard")  # the target did no work
-
-
 def handle_ended(state: states.State, ended: event.RequestEnded, now: float, out: list) -> None:
     """Take in the end of a request; what it did not answer is tried elsewhere."""
     request = state.requests.pop(ended.request_no, None)
@@ -395,7 +291,7 @@
         low = problem.Problem(problem.Kind.COVERAGE_TOO_LOW, detail, problem.Execution.UNKNOWN)
         out.append(effect.Refuse(query.number, low))
         return
-    out.append(effect.AnswerSearch(query.number, merge(query)))
+    out.append(effect.AnswerSearch(query.number, answer.merge(query)))
 
 
 def _close(state: states.State, query: states.Query, now: float) -> None:
@@ -403,27 +299,3 @@
     query.service.in_flight -= 1
     for subs in query.outstanding.values():
         dispatch.abandon(state, subs, now)
-
-
-def merge(query: states.Query) -> wire.Answer:
-    """Return the answer: best first, no hit twice, every missing shard with its reason."""
-    missing = [
-        wire.Missing(shard, query.missing.get(shard, "deadline"))
-        for shard in query.route.shards
-        if shard not in query.answered
-    ]
-    total = len(query.route.shards)
-    coverage = wire.Coverage(total, total - len(missing), missing)
-    hits = _merge_hits(query.answered, query.limit)
-    return wire.Answer(query.request_id, query.route.snapshot.name, coverage, hits)
-
-
-def _merge_hits(answered: dict[str, list[wire.Hit]], limit: int) -> list[wire.MergedHit]:
-    ranked = sorted((-hit.score, hit.id, shard) for shard, hits in answered.items() for hit in hits)
-    merged: dict[str, wire.MergedHit] = {}
-    for negative, hit_id, shard in ranked:
-        if len(merged) == limit:
-            break
-        if hit_id not in merged:
-            merged[hit_id] = wire.MergedHit(hit_id, -negative, shard)
-    return list(merged.values())
--- a/hyssopproxy/server.py
+++ b/hyssopproxy/server.py
@@ -12,6 +12,7 @@
 import starlette.routing
 import uvicorn
 
+from hyssopproxy import body as bodies
 from hyssopproxy import dump
 from hyssopproxy import event
 from hyssopproxy import lifecycle
@@ -53,12 +54,9 @@
     async def _search(self, request: starlette.requests.Request) -> starlette.responses.Response:
         began = time.monotonic()
         request_id = _request_id(request)
-        body = await self._read_body(request)
+        body = await self._read_body(request, bodies.read_search)
         if isinstance(body, problem.Problem):
             return self._respond(body, request_id)
-        if not isinstance(body, dict) or "query" not in body or set(body) - {"query", "limit"}:
-            detail = 'give {"query": ..., "limit": N}'
-            return self._respond(problem.Problem(Kind.BAD_REQUEST, detail), request_id)
         number, reply = self._runtime.expect()
         self._runtime.post(
             event.SearchArrived(
@@ -66,8 +64,8 @@
                 service=request.path_params["service"],
                 request_id=request_id,
                 timeout_ms=request.headers.get("request-timeout-ms"),
-                query=body["query"],
-                limit=body.get("limit"),
+                query=body.query,
+                limit=body.limit,
             )
         )
         watch = asyncio.ensure_future(self._watch_caller(request, number))
@@ -86,7 +84,7 @@
     async def _act(self, request: starlette.requests.Request) -> starlette.responses.Response:
         began = time.monotonic()
         request_id = _request_id(request)
-        body = await self._read_body(request)
+        body = await self._read_body(request, bodies.read_any)
         if isinstance(body, problem.Problem):
             return self._respond(body, request_id)
         number, reply = self._runtime.expect()
@@ -103,7 +101,9 @@
         self._runtime.metrics.record("action", time.monotonic() - began)
         return self._respond(result, request_id)
 
-    async def _read_body(self, request: starlette.requests.Request) -> typing.Any:
+    async def _read_body(
+        self, request: starlette.requests.Request, read: typing.Callable[[bytes], typing.Any]
+    ) -> typing.Any:
         service = self._runtime.state.services.get(request.path_params["service"])
         most = service.spec.body_bytes if service else MAX_BODY_BYTES
         body = bytearray()
@@ -111,10 +111,7 @@
             body += piece
             if len(body) > most:
                 return problem.Problem(Kind.BODY_TOO_LARGE, f"the body is over {most} bytes")
-        try:
-            return msgspec.json.decode(body)
-        except msgspec.DecodeError as error:
-            return problem.Problem(Kind.BAD_REQUEST, f"the body is no JSON: {error}")
+        return read(bytes(body))
 
     def _respond(self, reply: runtimes.Reply, request_id: str) -> starlette.responses.Response:
         headers = {"Request-Id": request_id}
--- a/hyssopproxy/target.py
+++ b/hyssopproxy/target.py
@@ -4,7 +4,7 @@
 
 from hyssopproxy import effect
 from hyssopproxy import event
-from hyssopproxy import fleet
+from hyssopproxy import freshness
 from hyssopproxy import share
 from hyssopproxy import state as states
 
@@ -54,7 +54,7 @@
         return Verdict.DRAINING
     if target.faults >= FAULTS_TO_BACKOFF and (now < target.backoff_until or target.requests):
         return Verdict.BACKED_OFF
-    if domain != state.identity.failure_domain and not fleet.has_word(state, domain, now):
+    if domain != state.identity.failure_domain and not freshness.has_word(state, domain, now):
         return Verdict.NO_WORD
     return Verdict.ROOM
 
@@ -212,7 +212,8 @@
     state.counters["target_cold"] += 1
     out.append(effect.Log("target_cold", {"target": target.spec.address, "reason": reason}))
     if reason != "peer":
-        fleet.tell_cold(state, target, out)
+        state.cold_news.append(target.spec.address)
+        state.next_ping_at = states.NEVER  # the next words go out at once
 
 
 def end_cold(target: states.Target, now: float, out: list) -> None:
--- a/hyssopproxy/targetclient.py
+++ b/hyssopproxy/targetclient.py
@@ -193,7 +193,7 @@
 def _parse_line(line: bytes) -> wire.Line | None:
     try:
         return wire.LINE.decode(line)
-    except msgspec.MsgspecError:
+    except wire.DECODE_ERRORS:
         return None
 
 
@@ -209,6 +209,6 @@
 def _says_not_run(body: bytes) -> bool:
     try:
         value = msgspec.json.decode(body)
-    except msgspec.DecodeError:
+    except wire.DECODE_ERRORS:
         return False
     return isinstance(value, dict) and value.get("execution") == "not_run"
--- a/hyssopproxy/wire.py
+++ b/hyssopproxy/wire.py
@@ -5,6 +5,13 @@
 import msgspec
 
 
+class SearchBody(msgspec.Struct, forbid_unknown_fields=True):
+    """A caller's search; the query is passed on as it came."""
+
+    query: msgspec.Raw
+    limit: int | None = None
+
+
 class Hit(msgspec.Struct):
     """One hit of a shard."""
 
@@ -68,3 +75,5 @@
 
 
 LINE = msgspec.json.Decoder(Line)
+# What a decoder raises for bytes that it cannot take; the second one for deep nesting.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
--- a/tests/processes/test_server.py
+++ b/tests/processes/test_server.py
@@ -21,6 +21,16 @@
     [
         (fleets.SERVICE, b"{", {}, 400, "bad_request"),
         (fleets.SERVICE, b"[]", {}, 400, "bad_request"),
+        (fleets.SERVICE, b'{"query": ' + b"[" * 30000 + b"}", {}, 400, "bad_request"),
+        (
+            fleets.SERVICE,
+            b'{"query": ' + b"[" * 30000 + b"]" * 30000 + b"}",
+            {},
+            400,
+            "bad_request",
+        ),
+        (fleets.SERVICE, b'{"query": "\xff"}', {}, 400, "bad_request"),
+        (fleets.SERVICE, b'{"query": 1, "limit": "3"}', {}, 400, "bad_request"),
         (fleets.SERVICE, b'{"query": 1, "colour": 2}', {}, 400, "bad_request"),
         (fleets.SERVICE, b'{"query": "' + b"x" * 70000 + b'"}', {}, 413, "body_too_large"),
         (fleets.SERVICE, b'{"query": 1}', {"Request-Timeout-Ms": "soon"}, 400, "bad_deadline"),
--- a/tests/test_action.py
+++ b/tests/test_action.py
@@ -4,7 +4,7 @@
 
 from hyssopproxy import effect
 from hyssopproxy import event
-from hyssopproxy import fleet
+from hyssopproxy import freshness
 from hyssopproxy import message
 from hyssopproxy import problem
 from hyssopproxy import share
@@ -113,7 +113,7 @@
 def test_owner_that_is_not_heard_means_unknown(world):
     while not world.post(event.Tick(world.now), 0.1) or world.state.peers["vm1"].asked_at is None:
         pass
-    world.now += fleet.SILENT_S + 0.1
+    world.now += freshness.SILENT_S + 0.1
     world.refresh()
     (refusal,) = worlds.refusals(world.act(key_of(world, "vm1")))
     assert (refusal.kind, refusal.execution) == (Kind.OWNER_UNREACHABLE, Execution.UNKNOWN)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from hyssopproxy import effect
 from hyssopproxy import event
 from hyssopproxy import fleet
+from hyssopproxy import freshness
 from hyssopproxy import lifecycle
 from hyssopproxy import message
 from hyssopproxy import share
@@ -92,7 +93,7 @@
 
 def test_cut_off_daemon_sends_only_into_its_own_domain(world):
     assert set(verdicts(world).values()) == {Verdict.ROOM}
-    world.now += fleet.WORD_S + 0.1
+    world.now += freshness.WORD_S + 0.1
     assert verdicts(world) == {"d1": Verdict.ROOM, "d2": Verdict.NO_WORD, "d3": Verdict.NO_WORD}
     world.pong(1, version=5, fresh_age_ms=60_000)
     assert verdicts(world)["d2"] is Verdict.ROOM
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -71,7 +71,7 @@
     assert not worlds.answers(got)
 
 
-@pytest.mark.parametrize("header", ["0", "-1", "x", "", "99999999", "1.5"])
+@pytest.mark.parametrize("header", ["0", "-1", "x", "", "99999999", "1.5", "9" * 5000])
 def test_bad_deadline_is_refused(world, header):
     (refusal,) = worlds.refusals(world.search(header))
     assert (refusal.kind, refusal.execution) == (Kind.BAD_DEADLINE, NotRun)
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -7,8 +7,8 @@
 
 FOLDERS = ("hyssopproxy", "bench", "tests", "tools")
 PURE = (
-    "action configuration dispatch fleet lifecycle quantile reducer search share snapshot state "
-    "target watch policy/hedge policy/limit policy/replica policy/wait"
+    "action admission answer configuration dispatch fleet freshness lifecycle quantile reducer "
+    "search share snapshot state target watch policy/hedge policy/limit policy/replica policy/wait"
 ).split()
 IMPURE_MODULES = ("time", "random", "datetime", "asyncio", "socket", "os")
 IMPURE_ALLOWED = {"state": ("random",)}  # the type of the seeded generator in the state
