Actions: a key that an unsettled owner refused stays unknown; published addresses go first

Cause: with a one-way cut and a change of the list, 5 of 24 keys ran twice (29 runs, seen by test_two_sides_of_a_one_way_cut_run_no_key_twice_though_the_list_changes, which failed first): callers that followed Retry-After repeated a key past the window in which its new owner refuses. Ruled out: the lease (the cut-off owner stopped in time), a key run by both sides at once. Change: the owner remembers each key that it refused as unsettled as unknown. Price: a first request in that window needs a look-up and a new key. Also: a daemon is answered where it is published, not where it says it is; the cut went around the fault proxy before. After: 0 of 36 keys twice; new keys run.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -39,6 +39,7 @@
     peer_link: str = ""
     platform: str = ""  # when not the platform's own address
     flags: tuple[str, ...] = ()
+    state: str = "live"  # as published
 
 
 @attrs.define
@@ -109,6 +110,7 @@
             "address": vm.listen,
             "peer_address": vm.peer_link or vm.peer,
             "failure_domain": vm.domain,
+            "state": vm.state,
         }
         for vm in layout.vms
     }
--- a/hyssopproxy/action.py
+++ b/hyssopproxy/action.py
@@ -8,6 +8,7 @@
 from hyssopproxy import dispatch
 from hyssopproxy import effect
 from hyssopproxy import event
+from hyssopproxy import fleet
 from hyssopproxy import freshness
 from hyssopproxy import message
 from hyssopproxy import problem
@@ -52,7 +53,7 @@
         _own(state, action, now, out)
     elif arrived.origin:
         detail = "two VMs differ about the owner of the key"
-        _finish(state, action, _unsettled(state, detail), out)
+        _finish(state, action, _unsettled(detail), out)
     else:
         _pass_on(state, action, now, out)
 
@@ -90,7 +91,8 @@
         return
     action.is_passed_on = True
     passed = message.PassAction(
-        vm=f"{state.identity.vm}.{state.identity.incarnation}",
+        vm=state.identity.vm,
+        incarnation=state.identity.incarnation,
         address=state.identity.peer_address,
         action_no=action.number,
         service=action.service,
@@ -106,9 +108,8 @@
     return problem.Problem(Kind.OWNER_UNREACHABLE, detail, Execution.UNKNOWN, retry_after_s=5)
 
 
-def _unsettled(state: states.State, detail: str) -> problem.Problem:
-    wait_s = int(state.action_window_s) + 1
-    return problem.Problem(Kind.OWNER_UNSETTLED, detail, Execution.UNKNOWN, wait_s)
+def _unsettled(detail: str) -> problem.Problem:
+    return problem.Problem(Kind.OWNER_UNSETTLED, detail, Execution.UNKNOWN)
 
 
 def _own(state: states.State, action: states.Action, now: float, out: list) -> None:
@@ -120,6 +121,9 @@
         return
     refusal = _doubt(state, action, now)
     if refusal is not None:
+        if refusal.kind is Kind.OWNER_UNSETTLED:
+            # A caller may go on repeating it past the window, so it stays unknown.
+            state.outcomes[(action.service, action.key)] = states.Outcome(fingerprint, now, UNKNOWN)
         _finish(state, action, refusal, out)
         return
     state.outcomes[(action.service, action.key)] = states.Outcome(fingerprint, now)
@@ -140,7 +144,12 @@
     elif known.status == RUNNING:
         known.waiting.append(action.number)
     elif known.status == UNKNOWN:
-        _finish(state, action, _unknown("the first request with this key got no answer"), out)
+        _finish(
+            state,
+            action,
+            _unknown("it is not known whether an earlier request with this key ran"),
+            out,
+        )
     else:
         _finish(state, action, known, out)
 
@@ -153,7 +162,7 @@
     """Return why another daemon may have run this key, or may own it by now."""
     window_s = state.action_window_s
     if now - state.started_at < window_s or now < state.settled_at:
-        return _unsettled(state, "the owner of the key started or paused too short a time ago")
+        return _unsettled("the owner of the key started or paused too short a time ago")
     if now - state.fresh_at > window_s * states.LEASE_PART:
         detail = "the owner of the key has no fresh word of the configuration"
         return problem.Problem(Kind.CONFIGURATION_STALE, detail, Execution.UNKNOWN, 5)
@@ -162,7 +171,7 @@
         if now - newer.since >= window_s:
             break
         if not older.owners or share.owner(key, older.owners) != state.identity.vm:
-            return _unsettled(state, "the key moved to another VM with the list of VMs")
+            return _unsettled("the key moved to another VM with the list of VMs")
     return None
 
 
@@ -301,7 +310,7 @@
 
 
 def _origin_number(number: int | tuple) -> int:
-    return number[1]
+    return number[-1]
 
 
 def handle_passed(state: states.State, passed: message.PassAction, now: float, out: list) -> None:
@@ -312,12 +321,12 @@
         state.counters["peer_messages_garbled"] += 1
         return
     arrived = event.ActionArrived(
-        action_no=(passed.vm, passed.action_no),
+        action_no=(passed.vm, passed.incarnation, passed.action_no),
         service=passed.service,
         key=passed.key,
         timeout_ms=str(passed.timeout_ms),
         body=body,
-        origin=passed.address,
+        origin=fleet.find_address(state, passed.vm, passed.address),
     )
     handle_arrived(state, arrived, now, out)
 
--- a/hyssopproxy/fleet.py
+++ b/hyssopproxy/fleet.py
@@ -67,7 +67,7 @@
     state.counters["pings"] += 1
     peer = state.peers.get(vm.id)
     if peer is None:
-        peer = states.Peer(vm.id, vm.peer_address, vm.failure_domain)
+        peer = states.Peer(vm.id, vm.failure_domain)
         state.peers[vm.id] = peer
     if peer.asked_at is None:
         peer.asked_at = now
@@ -95,6 +95,12 @@
     return list(dict.fromkeys(chosen))
 
 
+def find_address(state: states.State, vm: str, claimed: str) -> str:
+    """Return where a daemon is: as published, or as it says itself when it is not."""
+    known = None if state.config is None else state.config.vms.get(vm)
+    return claimed if known is None else known.peer_address
+
+
 def spread(state: states.State, now: float, out: list) -> None:
     """Tell a few random daemons at once, as after a new version."""
     if state.config is None:
@@ -106,9 +112,8 @@
 
 def handle_ping(state: states.State, ping: message.Ping, now: float, out: list) -> None:
     """Answer a ping; its word may be old, so it only hints at a newer version."""
-    out.append(
-        effect.SendPeer(ping.word.address, message.Pong(make_word(state, now), ping.sent_at))
-    )
+    pong = message.Pong(make_word(state, now), ping.sent_at)
+    out.append(effect.SendPeer(find_address(state, ping.word.vm, ping.word.address), pong))
     _compare_version(state, ping.word, out)
     configuration.note_cold(state, ping.word.cold, now, out)
 
@@ -121,9 +126,8 @@
         return
     peer = state.peers.get(word.vm)
     if peer is None:
-        peer = states.Peer(word.vm, word.address, word.failure_domain)
+        peer = states.Peer(word.vm, word.failure_domain)
         state.peers[word.vm] = peer
-    peer.address = word.address
     peer.heard_at = max(peer.heard_at, asked_at)
     peer.asked_at = None
     peer.version = max(peer.version, word.version)
@@ -139,8 +143,8 @@
 def _compare_version(state: states.State, word: message.Word, out: list) -> None:
     mine = state.config.version if state.config else 0
     if word.version > mine:
-        want = message.Want(state.identity.peer_address, mine)
-        out.append(effect.SendPeer(word.address, want))
+        want = message.Want(state.identity.vm, state.identity.peer_address, mine)
+        out.append(effect.SendPeer(find_address(state, word.vm, word.address), want))
 
 
 def handle_want(state: states.State, want: message.Want, now: float, out: list) -> None:
@@ -149,7 +153,7 @@
         return
     state.counters["values_passed_on"] += 1
     value = message.Value(state.config.version, state.packed)
-    out.append(effect.SendPeer(want.address, value))
+    out.append(effect.SendPeer(find_address(state, want.vm, want.address), value))
 
 
 def handle_value(state: states.State, value: message.Value, now: float, out: list) -> None:
--- a/hyssopproxy/message.py
+++ b/hyssopproxy/message.py
@@ -33,6 +33,7 @@
 class Want(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """Asks for the configuration value newer than a version."""
 
+    vm: str
     address: str
     after: int
 
@@ -48,6 +49,7 @@
     """Passes an action on to the owner of its key."""
 
     vm: str
+    incarnation: int
     address: str
     action_no: int
     service: str
--- a/hyssopproxy/problem.py
+++ b/hyssopproxy/problem.py
@@ -33,7 +33,7 @@
     DEADLINE_EXCEEDED = (504, "retry with a longer Request-Timeout-Ms")
     COVERAGE_TOO_LOW = (503, "retry later; too few shards answered")
     CONFIGURATION_STALE = (503, "retry later; this VM has no fresh word of the configuration")
-    OWNER_UNSETTLED = (503, "look up whether the action ran, or repeat the key after Retry-After")
+    OWNER_UNSETTLED = (503, "look up whether the action ran before sending it with a new key")
     OWNER_UNREACHABLE = (503, "look up whether the action ran, or repeat the key after Retry-After")
     ACTION_SHED = (503, "retry after Retry-After with the same key")
     ACTION_UNKNOWN = (502, "look up whether the action ran before sending it with a new key")
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -185,7 +185,6 @@
     """What this daemon heard from another one."""
 
     vm: str
-    address: str
     failure_domain: str
     heard_at: float = NEVER  # send time of our ping that it answered
     asked_at: float | None = None  # send time of our oldest ping without an answer
--- a/tests/processes/test_partition.py
+++ b/tests/processes/test_partition.py
@@ -1,5 +1,6 @@
 """The platform down, stale or cut off; daemons cut off, paused or started meanwhile."""
 
+import collections
 import contextlib
 import signal
 import time
@@ -171,3 +172,39 @@
             socket.send(b"\xff\xfe")
             process.wait_for(lambda: garbled(fleet, first), "a count")
         assert fleet.search(first)[0] == 200
+
+
+def test_two_sides_of_a_one_way_cut_run_no_key_twice_though_the_list_changes():
+    layout = make_layout()
+    lone, *others = layout.vms
+    with fleets.running(layout) as fleet:
+        lone.platform = fleet.add_link("platform", fleet.platform_address)
+        lone.peer_link = fleet.add_link("peer", lone.peer)
+        fleet.daemons[lone.vm].kill()
+        fleet.start_daemon(lone)
+        fleet.wait_ready(lone)
+        wait_version(fleet, fleet.republish())
+        fleet.wait_settled()
+        keys = [f"before{number}" for number in range(12)]
+        for key in keys:
+            process.wait_for(lambda key=key: fleet.act(others[0], key)[0] == 200, "an outcome")
+        fleet.disturb("platform", cut=True)
+        fleet.disturb("peer", stall_up=True)  # what the lone daemon sends still arrives
+        lone.state = "leaving"
+        fleet.republish()  # its keys move to the others, and it does not hear of it
+        keys += [f"during{number}" for number in range(12)]
+        until = time.monotonic() + 2 * layout.action_window_s
+        while time.monotonic() < until:
+            for key in keys:
+                for vm in (lone, others[0]):
+                    status, body, _ = fleet.act(vm, key, timeout_ms=300)
+                    assert status == 200 or body["execution"] == "unknown"
+        assert len(barred(fleet, lone)) == 2
+        assert fleet.search(lone)[1]["coverage"]["shards_answered"] == 6
+        after = [f"after{number}" for number in range(12)]
+        assert {fleet.act(others[0], key)[0] for key in after} == {200}
+        runs = collections.Counter()
+        for report in fleet.reports():
+            runs.update(report["actions"])
+        assert set(runs.values()) == {1}
+        assert set(keys[:12] + after) <= set(runs)
