--- a/bench/tail.py
+++ b/bench/tail.py
@@ -9,6 +9,8 @@
 RATE = 12.0  # little, so that the tail is the stragglers' and not this machine's
 SECONDS = 16.0
 WARM_SECONDS = 5.0
+SLOW_SERVICE_MS = 20.0  # for the same reason
+STRAGGLER_TIMEOUT_MS = 1500
 TARGET = {"leaves": 5, "slots": 8, "service_ms": 4.0}
 
 
@@ -32,15 +34,15 @@
 
 
 def _run_stragglers(hedge: str) -> dict[str, typing.Any]:
-    layout = fleets.make_layout(
-        5, 2, TARGET, shards=25, replicas=2, service={"policy": {"hedge": hedge}}
-    )
+    target = {**TARGET, "service_ms": SLOW_SERVICE_MS}
+    service = {"policy": {"hedge": hedge}}
+    layout = fleets.make_layout(5, 2, target, shards=25, replicas=2, service=service)
     with fleets.running(layout) as fleet:
         for target in layout.targets:
             fleet.tell(target.name, straggler_rate=0.01, straggler_factor=20.0)
-        base.send_load(layout, RATE, WARM_SECONDS)
+        base.send_load(layout, RATE, WARM_SECONDS, STRAGGLER_TIMEOUT_MS)
         before = base.count(fleet, "received")
-        sent = base.send_load(layout, RATE, SECONDS)
+        sent = base.send_load(layout, RATE, SECONDS, STRAGGLER_TIMEOUT_MS)
         received = base.count(fleet, "received") - before
     return {
         "hedge": hedge,
