Backoff: a probe's success ends it, and no probe goes over a cold target's curve

Cause, from reading: a success counted only when sent after the backoff's end, so a probe that went out because all replicas were backed off ended nothing; and such a probe skipped the cold-start check, one from each daemon. Two tests failed first. Change: what was sent after the backoff began counts, both ways; a cold target is probed only by a daemon with a part in its curve.

--- a/hyssopproxy/dispatch.py
+++ b/hyssopproxy/dispatch.py
@@ -46,7 +46,7 @@
         choice = near or far or doubtful
         return query.service.replica.choose(choice, query.service.turn), Verdict.ROOM
     if backed_off and verdict is Verdict.BACKED_OFF:
-        probe = target.find_probe(backed_off, now)
+        probe = target.find_probe(state, backed_off, now)
         return probe, Verdict.ROOM if probe else verdict
     return None, verdict
 
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -35,8 +35,8 @@
     leaves: list["Leaf"] = attrs.field(factory=list)
     requests: int = 0  # HTTP requests in flight
     faults: int = 0  # consecutive
+    backed_off_at: float = NEVER
     backoff_until: float = NEVER
-    resets: int = 0  # since the last good answer
     sheds: int = 0  # since the last good answer
     is_cold: bool = False
     cold_since: float | None = None  # when it was first seen alive in its cold start
--- a/hyssopproxy/target.py
+++ b/hyssopproxy/target.py
@@ -107,8 +107,8 @@
 
 def record_alive(target: states.Target, sent_at: float, now: float) -> None:
     """Take in any good reply: faults end, and the curve of a cold start begins."""
-    target.resets = target.sheds = 0
-    if sent_at >= target.backoff_until or target.backoff_until == states.NEVER:
+    target.sheds = 0
+    if sent_at > target.backed_off_at:
         target.faults = 0
     if target.is_cold and target.cold_since is None:
         target.cold_since = now
@@ -151,12 +151,11 @@
     if not failure.is_target_fault:
         return
     if failure in (event.Failure.CONNECT, event.Failure.RESET):
-        target.resets += 1
         if target.requests == 0 or failure is event.Failure.CONNECT:
             set_cold(state, target, "connections_lost", now, out)
     for leaf in target.leaves:
         leaf.fault_rate += (1.0 - leaf.fault_rate) * FAULT_WEIGHT
-    if sent_at < target.backoff_until and target.faults >= FAULTS_TO_BACKOFF:
+    if sent_at <= target.backed_off_at:
         return  # sent before the backoff began: it tells nothing new
     target.faults += 1
     if target.faults >= FAULTS_TO_BACKOFF:
@@ -166,6 +165,7 @@
 def _back_off(state: states.State, target: states.Target, now: float, out: list) -> None:
     doublings = min(target.faults - FAULTS_TO_BACKOFF, 10)
     longest = min(MAX_BACKOFF_S, BACKOFF_S * 2**doublings)
+    target.backed_off_at = now
     target.backoff_until = now + longest * (0.5 + 0.5 * state.rng.random())
     if target.faults == FAULTS_TO_BACKOFF:
         out.append(effect.Log("target_backed_off", {"target": target.spec.address}))
@@ -229,7 +229,13 @@
     out.append(effect.Log("target_warm", {"target": target.spec.address}))
 
 
-def find_probe(leaves: list[states.Leaf], now: float) -> states.Leaf | None:
+def find_probe(state: states.State, leaves: list[states.Leaf], now: float) -> states.Leaf | None:
     """Return the backed-off leaf to probe when every replica is backed off."""
-    idle = [leaf for leaf in leaves if leaf.target.requests == 0]
+    idle = [leaf for leaf in leaves if leaf.target.requests == 0 and _may_probe(state, leaf, now)]
     return min(idle, key=lambda leaf: leaf.target.backoff_until, default=None)
+
+
+def _may_probe(state: states.State, leaf: states.Leaf, now: float) -> bool:
+    if not leaf.target.is_cold:
+        return True
+    return _judge_cold(state, leaf.target, now) is Verdict.ROOM
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -273,3 +273,29 @@
     got = world.post(event.PeerSpoke(message.Ping(word, 0.0)))
     (pong,) = [p for p in worlds.find(got, effect.SendPeer) if isinstance(p.message, message.Pong)]
     assert pong.address == world.layout.vms[1].peer
+
+
+def fail_all(world):
+    """Back every target off."""
+    for _ in range(4):
+        for sent in worlds.sends(world.search()):
+            world.post(event.RequestEnded(sent.request_no, event.Failure.TIMEOUT))
+    assert set(verdicts(world).values()) == {Verdict.BACKED_OFF}
+    world.now += 0.01
+
+
+def test_probe_that_succeeds_ends_the_backoff(world):
+    fail_all(world)
+    probe = worlds.sends(world.search())[0]
+    world.answer(probe)
+    assert world.state.targets[probe.address].faults == 0
+
+
+def test_no_probe_goes_to_a_cold_target_that_this_daemon_has_no_part_in(world):
+    fail_all(world)
+    for place in world.state.targets.values():
+        target.set_cold(world.state, place, "test", world.now, [])
+    for sent in worlds.sends(world.search()):
+        place = world.state.targets[sent.address]
+        assert target.cold_permits(world.state, place, world.now) > 0
+        assert len(sent.searches) <= target.cold_permits(world.state, place, world.now)
