--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -169,6 +169,7 @@
             *("--slots", str(target.slots)),
             *("--service-ms", str(target.service_ms)),
             *("--connect-ms", str(target.connect_ms)),
+            *("--connections", str(target.connections * target.leaves)),
             *("--seed", str(len(self.targets) + 1)),
         ]
         if target.cold:
--- a/hyssopproxy/emulator/backend.py
+++ b/hyssopproxy/emulator/backend.py
@@ -198,6 +198,8 @@
     async def _status(self, request: starlette.requests.Request) -> starlette.responses.Response:
         answer = http.respond({"in_flight": self.flight["now"]})
         answer.headers.update(self._headers())
+        if self.behaviour.report:
+            answer.headers["Target-State"] = self.behaviour.report
         return answer
 
     async def _control(self, request: starlette.requests.Request) -> starlette.responses.Response:
@@ -250,6 +252,7 @@
     slots: int = 2,
     service_ms: float = 4.0,
     connect_ms: float = 0.0,
+    connections: int = 1000,
     cold: bool = False,
     seed: int = 1,
 ) -> None:
@@ -260,13 +263,14 @@
     :param slots: slots of a leaf
     :param service_ms: usual time of a sub-search
     :param connect_ms: what a new connection costs
+    :param connections: cap of the whole target
     :param cold: start cold
     :param seed: of the random generator
     """
     backend = Backend(leaf_count, cold, seed, connect_ms)
     backend.behaviour.slots = slots
     backend.behaviour.service_ms = service_ms
-    http.serve(backend.app(), listen)
+    http.serve(backend.app(), listen, connections)
 
 
 if __name__ == "__main__":
--- a/hyssopproxy/emulator/http.py
+++ b/hyssopproxy/emulator/http.py
@@ -11,8 +11,10 @@
 from hyssopproxy import address
 
 
-def serve(app: starlette.applications.Starlette, place: str) -> None:
-    """Serve until a signal."""
+def serve(
+    app: starlette.applications.Starlette, place: str, connections: int | None = None
+) -> None:
+    """Serve until a signal; over the connection cap, requests get a 503."""
     parsed = address.parse(place)
     uvicorn.run(
         app,
@@ -24,6 +26,7 @@
         lifespan="off",
         log_level="critical",
         access_log=False,
+        limit_concurrency=connections,
         timeout_graceful_shutdown=1,
     )
 
--- a/hyssopproxy/emulator/leaf.py
+++ b/hyssopproxy/emulator/leaf.py
@@ -23,6 +23,7 @@
     queue: int = 64  # waiting at a leaf before it sheds
     state: str = "warm"  # what the header says
     silent: bool = False  # says warm also when cold
+    report: str = ""  # what the status call says instead; a report that lies
     cold_after_ms: tuple[int, ...] = (0, 500, 1500, 3000)
     cold_percent: tuple[int, ...] = (10, 25, 50, 100)
     snapshots: tuple[str, ...] | None = None  # served; None for all
--- a/tests/processes/test_domain.py
+++ b/tests/processes/test_domain.py
@@ -91,3 +91,17 @@
     report = load.result()
     assert report["cut"] == report["late"] == 0
     assert report["coverage"] > 0.97
+
+
+def test_report_that_lies_of_a_draining_target_costs_no_coverage(fleet):
+    with traffic.running(fleet.layout, rate=20) as load:
+        process.wait_for(lambda: fleet.report("t0")["counts"].get("received"), "work")
+        fleet.tell("t0", state="draining", report="draining")
+        time.sleep(OUT_S)
+        received = fleet.report("t0")["counts"]["received"]
+        time.sleep(2.0)
+        assert fleet.report("t0")["counts"]["received"] == received
+        fleet.tell("t0", report="warm")
+        time.sleep(2.0)
+    report = load.result()
+    assert report["full"] == report["sent"]
