--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,5 @@
 """Computes docs/CAPACITY.md from the measured slopes."""
 
-import typing
-
 import attrs
 
 from hyssopproxy import fleet
@@ -232,8 +230,3 @@
             "`watch`",
         ),
     ]
-
-
-def describe_target() -> dict[str, typing.Any]:
-    """Return the users' size as plain values."""
-    return attrs.asdict(TARGET)
--- a/hyssopproxy/config.py
+++ b/hyssopproxy/config.py
@@ -37,11 +37,11 @@
     top = option.Section("value", value, faults)
     version = top.whole("version", None, 1, 1 << 53)
     services = _read_services(top, known)
-    domains, out = _read_domains(top)
+    out = _read_domains(top)
     vms = _read_vms(top)
     if faults:
         return Rejected(tuple(faults))
-    return model.Config(version, services, vms, out, domains, value.get("services", {}))
+    return model.Config(version, services, vms, out, value.get("services", {}))
 
 
 def _read_services(top: option.Section, known: model.Config | None) -> dict[str, model.Service]:
@@ -69,13 +69,12 @@
                 top.fault(f"services.{name}.targets.{target.name}", target.address, remedy)
 
 
-def _read_domains(top: option.Section) -> tuple[frozenset[str], frozenset[str]]:
+def _read_domains(top: option.Section) -> frozenset[str]:
     out = set()
-    sections = top.sections("failure_domains")
-    for name, section in sections.items():
+    for name, section in top.sections("failure_domains").items():
         if section.choice("state", "in", ("in", "out")) == "out":
             out.add(name)
-    return frozenset(sections), frozenset(out)
+    return frozenset(out)
 
 
 def _read_vms(top: option.Section) -> dict[str, model.VM]:
--- a/hyssopproxy/event.py
+++ b/hyssopproxy/event.py
@@ -17,7 +17,7 @@
 
 
 class Failure(enum.Enum):
-    """How a call to a target ended without its reply; three groups are kept apart."""
+    """How a call to a target ended without its reply; a cancelled call is recorded as nothing."""
 
     CONNECT = "connect"  # target's: no connection, so no byte was sent
     RESET = "reset"  # target's: the connection ended in the middle
@@ -25,7 +25,6 @@
     GARBLED = "garbled"  # target's: the reply breaks the contract
     LOCAL = "local"  # this process lacks memory or file descriptors, so no byte was sent
     EXPIRED = "expired"  # this process was too late to send
-    CANCELLED = "cancelled"  # nobody wants the reply any more
 
     @property
     def is_target_fault(self) -> bool:
--- a/hyssopproxy/fleet.py
+++ b/hyssopproxy/fleet.py
@@ -132,7 +132,6 @@
     peer.asked_at = None
     peer.version = max(peer.version, word.version)
     peer.is_leaving = word.is_leaving
-    peer.incarnation = word.incarnation
     _compare_version(state, word, out)
     if state.config is not None and word.version == state.config.version and word.fresh_age_ms >= 0:
         state.fresh_at = max(state.fresh_at, asked_at - word.fresh_age_ms / 1000)
--- a/hyssopproxy/model.py
+++ b/hyssopproxy/model.py
@@ -105,5 +105,4 @@
     services: dict[str, Service]
     vms: dict[str, VM]
     domains_out: frozenset[str] = frozenset()
-    domains: frozenset[str] = frozenset()
     tables: dict[str, dict] = attrs.field(factory=dict, repr=False)  # services as published
--- a/hyssopproxy/problem.py
+++ b/hyssopproxy/problem.py
@@ -29,7 +29,6 @@
     NO_SNAPSHOT = (503, "publish a snapshot for the service")
     OVERLOADED = (503, "retry after Retry-After; the targets bear no more at present")
     FAILURE_DOMAIN_OUT = (503, "retry at a VM of another failure domain")
-    STOPPING = (503, "retry at another VM; this one is leaving")
     DEADLINE_EXCEEDED = (504, "retry with a longer Request-Timeout-Ms")
     COVERAGE_TOO_LOW = (503, "retry later; too few shards answered")
     CONFIGURATION_STALE = (503, "retry later; this VM has no fresh word of the configuration")
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -190,7 +190,6 @@
     asked_at: float | None = None  # send time of our oldest ping without an answer
     version: int = 0
     is_leaving: bool = False
-    incarnation: int = 0
 
 
 @attrs.frozen
