Daemons learn when targets pause, tell each other of slow and failing ones, and yield together behind a cut

Cause: on the grown deployments each daemon sees about one search a second over 36 shards. Nearly every search met a target that paused, each daemon had to meet each slow target itself, and the daemons of a cut failure domain turned unready one by one, seconds apart; the balancer moves on only when all are. Gossip of 24 records a datagram was half of the bytes between domains.

Ruled out: a different pause for each request (the ends of late answers of one target are exact multiples of one period apart); sharing of slowness by averages (a lost packet then made a target slow for the whole fleet); overdue first requests as a sign of a lost domain (they open connections).

Change: engine/stall finds the period that all pauses have in common and the phase of each target; engine/report spreads late answers, silence and failures as a rumour; reach tells the own domain of lost domains; a search that cannot reach its coverage is refused before anything is sent; gossip goes to the own domain first; a daemon that has just started assumes 16 daemons share with it; reads of the store gather changes for 0.25 s.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -7,6 +7,7 @@
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
+from hyssopproxy.engine import reach
 from hyssopproxy.engine import state as states
 
 MIN_RETRY_AFTER_S = 0.2  # a daemon that starts, or a target that sheds, has room after about this
@@ -14,10 +15,10 @@
 
 
 def refuse_new(
-    state: states.State, arrived: event.RequestArrived, reason: Refusal, out: list
+    state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
 ) -> None:
     """Refuse a request before anything was sent for it."""
-    retry_after_s = _retry_after_s(state)
+    retry_after_s = _retry_after_s(state, now)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
@@ -65,12 +66,16 @@
     is_not_run = not any(part.runs > 0 for part in query.parts)
     state.counters[f"refused_{reason.value}"] += 1
     log(state, query, reason.value, now, out)
-    out.append(effect.Refuse(query.number, reason, is_not_run, _retry_after_s(state)))
+    out.append(effect.Refuse(query.number, reason, is_not_run, _retry_after_s(state, now)))
 
 
-def _retry_after_s(state: states.State) -> float:
-    """Return when a caller may come back; spread, so that callers do not return together."""
-    return MIN_RETRY_AFTER_S * (0.5 + state.rng.random())
+def _retry_after_s(state: states.State, now: float) -> float:
+    """Return when a caller may come back; spread, so that callers do not return together.
+
+    Behind a cut, that is when the balancer takes the caller to another failure domain.
+    """
+    spread = 0.5 + state.rng.random()
+    return max(MIN_RETRY_AFTER_S * spread, reach.time_to_move_s(state, now))
 
 
 def close(state: states.State, query: states.Query) -> None:
--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -68,6 +68,7 @@
     is_new_start = now - state.started_at > SETTLED_S
     target = placement.make(state, entry, now, is_new_start)
     state.targets[key] = target
+    state.targets_by_id[entry.id] = target
     state.pools.setdefault(entry.pool, {})[key] = target
     out.append(
         effect.Log(
@@ -105,6 +106,8 @@
 
 def _drop(state: states.State, key: str, out: list) -> None:
     target = state.targets.pop(key)
+    if state.targets_by_id.get(target.id) is target:
+        del state.targets_by_id[target.id]
     pool = state.pools.get(target.entry.pool, {})
     pool.pop(key, None)
     if not pool:
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import model
 
 
@@ -80,9 +81,23 @@
 
 @attrs.frozen
 class PeerSpoke:
-    """A datagram of another daemon."""
+    """Another daemon told which daemons there are."""
 
-    message: typing.Any
+    message: datagram.Gossip
+
+
+@attrs.frozen
+class PeerReported:
+    """Another daemon told what it saw of targets."""
+
+    message: datagram.Reports
+
+
+@attrs.frozen
+class PeerLostDomains:
+    """Another daemon told which failure domains it has found out of reach."""
+
+    message: datagram.Lost
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -11,6 +11,7 @@
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import query
 from hyssopproxy.engine import reach
+from hyssopproxy.engine import report
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
 
@@ -32,6 +33,7 @@
     membership.handle_tick(state, now, out)
     catalog.handle_tick(state, now, out)
     query.note_overdue(state, now)
+    report.handle_tick(state, now, out)
     reach.handle_tick(state, now, out)
     query.handle_waiting(state, now, out)
     _note_readiness(state, now, out)
--- a/hyssopproxy/engine/membership.py
+++ b/hyssopproxy/engine/membership.py
@@ -6,67 +6,44 @@
 whatever the size of the fleet.
 """
 
-import msgspec
-
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import state as states
 
 GOSSIP_S = 0.7  # between two rounds
-FANOUT = 3  # datagrams a round
-RECORDS = 24  # daemons told of in one datagram, which stays under 1,400 bytes
+NEAR_FANOUT = 2  # datagrams a round within the own failure domain
+FAR_FANOUT = 1  # datagrams a round to other failure domains, whose links are costly
+NEAR_RECORDS = 12  # daemons told of in one datagram within the own failure domain
+FAR_RECORDS = 6  # daemons told of in one datagram to another failure domain
+EARLY_RECORDS = 24  # after a start; such a datagram stays under 1,400 bytes
 FORGET_S = 60.0  # a silent daemon counts this long
 LIVE_S = 4.0  # a daemon heard within this time can be asked
 STALE_S = 2.5  # a daemon that did not hear the store for longer is not followed
 SETTLE_S = 2.5  # after a start the number of daemons is not known; no slack is used
+SETTLING_SHARERS = 16  # daemons assumed at least until then
 
 
-class Record(msgspec.Struct, frozen=True, array_like=True):
-    """What is told of one daemon."""
-
-    ip: str
-    failure_domain: str
-    incarnation: int  # wall-clock microseconds of its start
-    beat: int
-    version: int  # of its routing table
-    revision: int  # of the newest published change it took in
-    is_detached: bool = False  # its view may be stale
-
-
-class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """One datagram: the sender first, then some of those it heard of lately."""
-
-    sender: Record
-    records: tuple[Record, ...]
-
+def count_sharers(state: states.State, now: float) -> int:
+    """Return the number of daemons that shared bounds are divided by, at least 1.
 
-DECODER = msgspec.msgpack.Decoder(Gossip)
+    A daemon that has just started has not heard of the others and assumes several.
+    """
+    known = len(state.members) + 1
+    return known if has_settled(state, now) else max(known, SETTLING_SHARERS)
 
 
-def encode(message: Gossip) -> bytes:
-    """Return the bytes of a datagram."""
-    return msgspec.msgpack.encode(message)
-
-
-def decode(blob: bytes) -> Gossip | None:
-    """Return the message, or None for a garbled one."""
-    try:
-        return DECODER.decode(blob)
-    except (msgspec.MsgspecError, RecursionError):
-        return None
-
-
-def count_sharers(state: states.State) -> int:
-    """Return the number of daemons that shared bounds are divided by, at least 1."""
-    return len(state.members) + 1
+def has_settled(state: states.State, now: float) -> bool:
+    """Return whether this daemon has run for long enough to have heard of the others."""
+    return now - state.started_at >= SETTLE_S
 
 
 def slack_share(state: states.State, slack: float, now: float) -> float:
     """Return this daemon's part of a fixed allowance of the fleet."""
-    if now - state.started_at < SETTLE_S:
+    if not has_settled(state, now):
         return 0.0
-    return slack / count_sharers(state)
+    return slack / count_sharers(state, now)
 
 
 def live_members(state: states.State, now: float) -> list[states.Member]:
@@ -77,16 +54,18 @@
 def handle_spoke(state: states.State, spoke: event.PeerSpoke, now: float, out: list) -> None:
     """Take in a datagram; a daemon not known before is answered at once."""
     gossip = spoke.message
-    is_new = gossip.sender.ip not in state.members
+    known = state.members.get(gossip.sender.ip)
+    if known is None or known.incarnation != gossip.sender.incarnation:
+        state.newcomers.append(gossip.sender.ip)
     reach.note_heard(state, gossip.sender.failure_domain, now)
     _take_direct(state, gossip.sender, now)
     for record in gossip.records:
         _take_relayed(state, record, now)
-    if is_new and gossip.sender.ip != state.settings.ip:
-        out.append(effect.SendPeer(gossip.sender.ip, _compose(state, now)))
+    if known is None and gossip.sender.ip != state.settings.ip:
+        out.append(effect.SendPeer(gossip.sender.ip, _compose(state, EARLY_RECORDS, now)))
 
 
-def _take_direct(state: states.State, record: Record, now: float) -> None:
+def _take_direct(state: states.State, record: datagram.Record, now: float) -> None:
     """A datagram from the daemon itself counts whatever its clock says."""
     if record.ip == state.settings.ip:
         return
@@ -97,7 +76,7 @@
     _store(state, record, now)
 
 
-def _take_relayed(state: states.State, record: Record, now: float) -> None:
+def _take_relayed(state: states.State, record: datagram.Record, now: float) -> None:
     if record.ip == state.settings.ip:
         return
     known = state.members.get(record.ip)
@@ -107,7 +86,7 @@
     _store(state, record, now)
 
 
-def _store(state: states.State, record: Record, now: float) -> None:
+def _store(state: states.State, record: datagram.Record, now: float) -> None:
     if record.ip not in state.members:
         state.counters["members_found"] += 1
     state.members[record.ip] = states.Member(
@@ -126,33 +105,49 @@
     """Send a round of gossip when due and forget daemons that are silent for long."""
     if now < state.next_gossip_at:
         return
-    early = now - state.started_at < SETTLE_S
-    state.next_gossip_at = now + GOSSIP_S * (0.3 if early else 0.8 + 0.4 * state.rng.random())
+    pace = 0.8 + 0.4 * state.rng.random() if has_settled(state, now) else 0.3
+    state.next_gossip_at = now + GOSSIP_S * pace
     state.beat += 1
     for ip in [ip for ip, one in state.members.items() if now - one.heard_at > FORGET_S]:
         del state.members[ip]
         out.append(effect.Log("member_forgotten", {"member": ip}))
-    message = _compose(state, now)
-    for ip in _choose(state, now):
-        out.append(effect.SendPeer(ip, message))
+    near, far = choose_peers(state, NEAR_FANOUT, FAR_FANOUT, now)
+    far += _choose_silent(state, len(near) + len(far), now)
+    early = not has_settled(state, now)
+    for ips, records in ((near, NEAR_RECORDS), (far, FAR_RECORDS)):
+        message = _compose(state, EARLY_RECORDS if early else records, now)
+        out.extend(effect.SendPeer(ip, message) for ip in ips)
+
+
+def choose_peers(
+    state: states.State, near: int, far: int, now: float
+) -> tuple[list[str], list[str]]:
+    """Return IP numbers of live daemons, drawn within the own failure domain and outside it."""
+    own = state.settings.failure_domain
+    groups: dict[bool, list[str]] = {True: [], False: []}
+    for one in live_members(state, now):
+        groups[one.failure_domain == own].append(one.ip)
+    return (
+        state.rng.sample(groups[True], min(near, len(groups[True]))),
+        state.rng.sample(groups[False], min(far, len(groups[False]))),
+    )
 
 
-def _choose(state: states.State, now: float) -> list[str]:
-    """Pick some live daemons, one that is silent or a seed."""
-    live = [one.ip for one in live_members(state, now)]
-    chosen = state.rng.sample(live, min(FANOUT, len(live)))
-    others = [one for one in state.members if one not in live]
+def _choose_silent(state: states.State, chosen: int, now: float) -> list[str]:
+    """Return a silent daemon or a seed, and more of them while few daemons are heard."""
+    live = {one.ip for one in live_members(state, now)}
+    others = [ip for ip in state.members if ip not in live]
     for seed in state.settings.seeds:
         ip = seed.rpartition(":")[0]
         if ip != state.settings.ip and ip not in live and ip not in others:
             others.append(ip)
-    if len(live) < FANOUT:
-        return chosen + others[: 2 * FANOUT]
-    return chosen + ([state.rng.choice(others)] if others else [])
+    if chosen < NEAR_FANOUT + FAR_FANOUT:
+        return others[: 2 * (NEAR_FANOUT + FAR_FANOUT)]
+    return [state.rng.choice(others)] if others else []
 
 
-def _compose(state: states.State, now: float) -> Gossip:
-    me = Record(
+def _compose(state: states.State, count: int, now: float) -> datagram.Gossip:
+    me = datagram.Record(
         ip=state.settings.ip,
         failure_domain=state.settings.failure_domain,
         incarnation=state.incarnation,
@@ -161,10 +156,10 @@
         revision=state.sync.revision,
         is_detached=state.sync.failures > 0 or now - state.sync.heard_at > STALE_S,
     )
-    recent = sorted(live_members(state, now), key=lambda one: -one.heard_at)[: 2 * RECORDS]
-    chosen = state.rng.sample(recent, min(RECORDS, len(recent)))
+    recent = sorted(live_members(state, now), key=lambda one: -one.heard_at)[: 2 * count]
+    chosen = state.rng.sample(recent, min(count, len(recent)))
     records = tuple(
-        Record(
+        datagram.Record(
             one.ip,
             one.failure_domain,
             one.incarnation,
@@ -175,4 +170,4 @@
         )
         for one in chosen
     )
-    return Gossip(me, records)
+    return datagram.Gossip(me, records)
--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -24,6 +24,7 @@
     slowness: float  # recent latency against what is usual
     overdue_s: float  # how long its oldest request is past its usual time
     failure_rate: float  # share of recent requests that it shed or failed
+    pause_s: float = 0.0  # delay by a pause that is known to come, or to last
 
 
 class Placement(abc.ABC):
@@ -59,7 +60,7 @@
     """Expected time by this instant's evidence.
 
     Answers targets that pause, turn slow or fill up while their reports still look well: a request
-    that is overdue counts at once, before any answer comes.
+    that is overdue counts at once, before any answer comes, and a pause before it begins.
     """
 
     name = "evidence"
@@ -67,6 +68,7 @@
     def cost_s(self, candidate: Candidate, usual_s: float) -> float:
         load = 1.0 + LOAD_WEIGHT * candidate.in_flight / candidate.slots
         cost = usual_s * candidate.slowness * load + candidate.failure_rate * FAILURE_S
+        cost += candidate.pause_s
         if candidate.overdue_s > 0.0:
             cost += OVERDUE_S + candidate.overdue_s
         return cost if candidate.is_near else cost + CROSS_DOMAIN_S
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -33,16 +33,19 @@
     """Send a request to its shards, or refuse it at once."""
     state.counters["requests"] += 1
     if state.table is None:
-        answer.refuse_new(state, arrived, Refusal.NO_CONFIGURATION, out)
+        answer.refuse_new(state, arrived, Refusal.NO_CONFIGURATION, now, out)
         return
     route = routing.match(state.table, arrived.host, arrived.path)
     if route is None:
-        answer.refuse_new(state, arrived, Refusal.NO_ROUTE, out)
+        answer.refuse_new(state, arrived, Refusal.NO_ROUTE, now, out)
         return
     if len(state.queries) >= MAX_QUERIES:
-        answer.refuse_new(state, arrived, Refusal.OVERLOADED, out)
+        answer.refuse_new(state, arrived, Refusal.OVERLOADED, now, out)
         return
     query = _make(state, route, arrived, now)
+    if not _can_cover(state, query, now):
+        answer.refuse_new(state, arrived, Refusal.COVERAGE_TOO_LOW, now, out)
+        return
     state.queries[query.number] = query
     for part in query.parts:
         _record_first(state, part.pool, now)
@@ -50,6 +53,17 @@
     _advance(state, query, now, out)
 
 
+def _can_cover(state: states.State, query: states.Query, now: float) -> bool:
+    """Return whether enough shards of a search have a target that may be asked.
+
+    Only losses that this daemon knows to last are counted, not a target's backoff.
+    """
+    if not query.route.is_search or not (state.domain_lost_at or state.domains_out):
+        return True
+    reachable = sum(placement.is_in_reach(state, part.pool, now) for part in query.parts)
+    return reachable > 0 and reachable / len(query.parts) >= query.route.least_coverage
+
+
 def _make(
     state: states.State, route: model.Route, arrived: event.RequestArrived, now: float
 ) -> states.Query:
@@ -186,7 +200,7 @@
             time_left_s=max(0.001, min(query.caller_deadline, query.deadline) - now),
             not_after=now + SEND_GRACE_S,
             needs_fresh=not route.is_idempotent,
-            max_connections=placement.connection_share(state, target),
+            max_connections=placement.connection_share(state, target, now),
         )
     )
 
@@ -244,7 +258,7 @@
         latency.record(now - attempt.sent_at)
         placement.record_answer(state, attempt, now, latency.median)
     elif outcome is Outcome.SHED:
-        placement.record_shed(target, ended.retry_after_s, now)
+        placement.record_shed(state, target, ended.retry_after_s, now)
     elif outcome is Outcome.MISDIRECTED:
         target.is_misdirected = True
         fields = {"target": target.id, "address": target.entry.address}
@@ -308,8 +322,11 @@
 def note_overdue(state: states.State, now: float) -> None:
     """Take in which requests are past their usual time, as evidence against their targets."""
     for attempt in state.attempts.values():
-        if attempt.hedge_at <= now and not attempt.is_overdue:
-            placement.record_overdue(state, attempt, now)
+        if attempt.hedge_at <= now:
+            if not attempt.is_overdue:
+                placement.record_overdue(state, attempt, now)
+            if not attempt.is_silent:
+                placement.record_silent(state, attempt, now)
 
 
 def _advance(state: states.State, query: states.Query, now: float, out: list) -> None:
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -6,6 +6,8 @@
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import query
+from hyssopproxy.engine import reach
+from hyssopproxy.engine import report
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
 
@@ -29,6 +31,8 @@
     event.ChangesRead: sync.handle_changes,
     event.ReadFailed: sync.handle_failed,
     event.PeerSpoke: membership.handle_spoke,
+    event.PeerReported: report.handle_reported,
+    event.PeerLostDomains: reach.handle_lost,
     event.SettingsChanged: lifecycle.handle_settings,
     event.Tick: lifecycle.handle_tick,
     event.StopRequested: lifecycle.handle_stop,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -8,8 +8,10 @@
 
 from hyssopproxy import quantile
 from hyssopproxy.engine import budget
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import model
 from hyssopproxy.engine import policy
+from hyssopproxy.engine import stall
 
 NEVER = float("-inf")
 
@@ -48,6 +50,8 @@
     sheds: int = 0  # consecutive
     failure_rate: float = 0.0  # share of recent requests that it shed or failed
     failure_rate_at: float = NEVER
+    failure_told_at: float = NEVER  # other daemons were told of a failure
+    stalls: stall.Stalls = attrs.field(factory=stall.Stalls)
     last_pick: int = 0
     spread: float = 0.0  # random, so that daemons rank equal targets differently
     cold_tokens: float = 0.0
@@ -71,6 +75,7 @@
     is_extra: bool
     is_abandoned: bool = False  # its answer is no longer of use
     is_overdue: bool = False  # its hedge time has passed
+    is_silent: bool = False  # it is long past its usual time
 
 
 @attrs.define(eq=False)
@@ -123,6 +128,16 @@
     longest_timeout_s: float = 0.0  # callers of one route state the same timeout at first
 
 
+@attrs.frozen
+class Finding:
+    """What this daemon is to tell others of a target."""
+
+    target_id: str
+    sign: datagram.Sign
+    at: float
+    ratio: float = 0.0  # latency against what is usual
+
+
 @attrs.define(eq=False)
 class Member:
     """Another daemon."""
@@ -175,11 +190,21 @@
     policies: policy.Policies
     table: model.RoutingTable | None = None
     targets: dict[str, Target] = attrs.field(factory=dict)  # by published key
+    targets_by_id: dict[str, Target] = attrs.field(factory=dict)
+    recurrence: stall.Recurrence = attrs.field(factory=stall.Recurrence)
+    findings: dict[tuple[str, int], Finding] = attrs.field(factory=dict)  # by target and sign
+    report_tokens: float = 0.0  # datagrams of reports that may be sent
+    report_tokens_at: float = NEVER
+    newcomers: list[str] = attrs.field(factory=list)  # IP numbers of daemons that just started
     pools: dict[str, dict[str, Target]] = attrs.field(factory=dict)  # pool -> key -> target
     domains_out: dict[str, str] = attrs.field(factory=dict)  # key -> failure domain
     domain_faults: dict[str, int] = attrs.field(factory=dict)  # consecutive, no answer at all
     domain_lost_at: dict[str, float] = attrs.field(factory=dict)
     domain_probed_at: dict[str, float] = attrs.field(factory=dict)
+    domain_heard_at: dict[str, float] = attrs.field(factory=dict)
+    domain_witnesses: dict[str, dict[str, float]] = attrs.field(factory=dict)  # IP -> when told
+    told_lost: frozenset[str] = frozenset()  # domains of which peers were told
+    told_lost_at: float = NEVER
     isolated_since: float | None = None  # most of the fleet is out of reach
     routes: dict[str, RouteStatistics] = attrs.field(factory=dict)
     budgets: dict[str, budget.Budget] = attrs.field(factory=dict)  # by pool
--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -17,7 +17,7 @@
 
 PEER_RETRY_S = 3.0  # after a failed read of a reader, the store is asked for this long
 WAIT_S = 1.0  # a waiting read; short, because a silent connection hides changes this long
-GATHER_S = 0.08  # after a change, so that a series of changes takes few reads
+GATHER_S = 0.25  # after a change, so that a series of changes takes few reads
 PAGE_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 0.6  # over the time that the read waits
 RETRY_S = 0.1
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -5,9 +5,9 @@
 import typing
 
 from hyssopproxy import metric
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
-from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
 from hyssopproxy.engine import reducer
 from hyssopproxy.engine import state as states
@@ -107,7 +107,7 @@
         self._spawn(self._store.read_changes(wanted))
 
     def _send_peer(self, wanted: effect.SendPeer) -> None:
-        blob = membership.encode(wanted.message)
+        blob = datagram.encode(wanted.message)
         self._peers.sendto(blob, (wanted.ip, self._peer_port))
 
     def _close_target(self, wanted: effect.CloseTarget) -> None:
@@ -135,16 +135,22 @@
         self._counters = counters
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
-        gossip = membership.decode(data)
-        if gossip is None:
+        message = datagram.decode(data)
+        if message is None:
             self._counters["datagrams_garbled"] += 1
         else:
-            self._post(event.PeerSpoke(gossip))
+            self._post(_PEER_EVENTS[type(message)](message))
 
     def error_received(self, exc: OSError) -> None:
         self._counters["datagrams_refused"] += 1
 
 
+_PEER_EVENTS: dict[type, type] = {
+    datagram.Gossip: event.PeerSpoke,
+    datagram.Reports: event.PeerReported,
+    datagram.Lost: event.PeerLostDomains,
+}
+
 _PERFORM: dict[type, typing.Callable] = {
     effect.Send: Runtime._send,
     effect.Cancel: Runtime._cancel,
--- /dev/null
+++ b/tests/engine/fleet.py
@@ -0,0 +1,93 @@
+"""Several daemons under one simulated clock that exchange datagrams and share their targets."""
+
+import itertools
+import typing
+
+from hyssopproxy.engine import datagram
+from hyssopproxy.engine import effect
+from hyssopproxy.engine import event
+from tests.engine import world as worlds
+
+STEP_S = 0.005  # of the clock; also how long a datagram takes
+_EVENTS = {
+    datagram.Gossip: event.PeerSpoke,
+    datagram.Reports: event.PeerReported,
+    datagram.Lost: event.PeerLostDomains,
+}
+
+
+class Fleet:
+    """Daemons, `per_domain` of them in each failure domain, and the replicas of some pools."""
+
+    def __init__(self, per_domain: int, shards: int, **route: object) -> None:
+        self.worlds: dict[str, worlds.World] = {}
+        self.cuts: set[frozenset[str]] = set()  # pairs of failure domains out of reach
+        self.dropped: set[type] = set()  # kinds of datagrams that get lost
+        self.sent: list[tuple[str, object]] = []
+        self._turns: typing.Iterator[worlds.World] = iter(())
+        for index, domain in itertools.product(range(per_domain), worlds.DOMAINS):
+            ip = f"10.1.{worlds.DOMAINS.index(domain)}.{index}"
+            world = worlds.World(ip=ip, failure_domain=domain, retry_slack=162.0)
+            world.rng.seed(ip)
+            world.state.rng.seed(ip)
+            self.worlds[ip] = world
+        first = next(iter(self.worlds.values()))
+        for shard in range(shards):
+            first.add_pool(f"s{shard}", slots=4)
+        self.replicas = first.replicas
+        for world in self.worlds.values():
+            world.replicas = self.replicas
+            world.crossing_s = 0.007
+            world.serve(worlds.search_route(shards, **route))
+            world.start()
+        seeds = list(self.worlds)[:3]
+        for ip, world in self.worlds.items():
+            for seed in seeds:
+                if seed != ip:
+                    domain = self.worlds[seed].state.settings.failure_domain
+                    world.hear(seed, domain)
+        self._turns = itertools.cycle(list(self.worlds.values()))
+        self.run(4.0)
+
+    @property
+    def now(self) -> float:
+        return next(iter(self.worlds.values())).now
+
+    def run(self, seconds: float) -> None:
+        """Let time pass for all daemons."""
+        for _ in range(round(seconds / STEP_S)):
+            for ip, world in self.worlds.items():
+                world.gone = self._out_of_reach(world)
+                world.run(STEP_S)
+                self._deliver(ip, world)
+
+    def load(self, per_s: float, seconds: float, **fields: object) -> list[tuple]:
+        """Let requests arrive at the daemons in turn; return their daemons and numbers."""
+        made = []
+        for _ in range(round(per_s * seconds)):
+            world = next(self._turns)
+            made.append((world, world.request(**fields)))
+            self.run(1.0 / per_s)
+        return made
+
+    def credit(self, made: list[tuple], objective_s: float) -> float:
+        """Return the mean worth of requests."""
+        return sum(world.credit([number], objective_s) for world, number in made) / len(made)
+
+    def _out_of_reach(self, world: worlds.World) -> set[str]:
+        own = world.state.settings.failure_domain
+        return {one for one in worlds.DOMAINS if frozenset((own, one)) in self.cuts}
+
+    def _deliver(self, ip: str, world: worlds.World) -> None:
+        sends = [one for one in world.effects if isinstance(one, effect.SendPeer)]
+        world.effects.clear()
+        for one in sends:
+            self.sent.append((ip, one.message))
+            other = self.worlds.get(one.ip)
+            if other is None or type(one.message) in self.dropped:
+                continue
+            if other.state.settings.failure_domain in world.gone:
+                continue
+            blob = datagram.encode(one.message)
+            message = datagram.decode(blob)
+            other.post(_EVENTS[type(message)](message))
--- a/tests/engine/test_membership.py
+++ b/tests/engine/test_membership.py
@@ -1,3 +1,4 @@
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import membership
 from tests.engine import world as worlds
@@ -19,9 +20,9 @@
     world.start()
     world.meet(7)
     world.run(30.0)
-    assert membership.count_sharers(world.state) == 8
+    assert membership.count_sharers(world.state, world.now) == 8
     world.run(40.0)
-    assert membership.count_sharers(world.state) == 1
+    assert membership.count_sharers(world.state, world.now) == 1
 
 
 def test_no_slack_is_spent_before_the_fleet_is_known():
@@ -52,19 +53,26 @@
     world.start()
     world.meet(400)
     world.run(2.0)
-    largest = max(len(membership.encode(one.message)) for one in datagrams(world))
+    largest = max(len(datagram.encode(one.message)) for one in datagrams(world))
     assert largest <= 1400
 
 
 def test_a_restarted_daemon_counts_once_even_if_its_clock_went_back():
     world = worlds.World()
     for incarnation in (500, 20):
-        record = membership.Record("10.9.0.9", "domain-b", incarnation, 1, 0, 0)
-        world.post(worlds.event.PeerSpoke(membership.Gossip(record, ())))
+        record = datagram.Record("10.9.0.9", "domain-b", incarnation, 1, 0, 0)
+        world.post(worlds.event.PeerSpoke(datagram.Gossip(record, ())))
     assert world.state.members["10.9.0.9"].incarnation == 20
-    assert membership.count_sharers(world.state) == 2
+    world.run(3.0)
+    assert membership.count_sharers(world.state, world.now) == 2
+
+
+def test_a_daemon_that_has_just_started_takes_a_small_part_of_shared_bounds():
+    world = worlds.World()
+    assert membership.count_sharers(world.state, world.now) >= 16
+    assert membership.slack_share(world.state, 56.0, world.now) == 0.0
 
 
 def test_garbled_datagrams_are_no_messages():
-    assert membership.decode(b"\x00\x01") is None
-    assert membership.decode(b"") is None
+    assert datagram.decode(b"\x00\x01") is None
+    assert datagram.decode(b"") is None
--- a/tests/engine/test_reach.py
+++ b/tests/engine/test_reach.py
@@ -1,6 +1,11 @@
 import pytest
 
+from hyssopproxy.engine import datagram
+from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
+from hyssopproxy.engine import model
+from hyssopproxy.engine import reach
+from tests.engine import fleet as fleets
 from tests.engine import world as worlds
 
 
@@ -84,3 +89,76 @@
     world = make({"domain-b": 3})
     cut(world, worlds.HOME)
     assert worlds.HOME not in world.state.domain_lost_at
+
+
+def test_the_daemons_of_a_cut_domain_turn_unready_together():
+    """Load pattern: each daemon sees a search in seconds, and one that is ready holds up all."""
+
+    def time_to_yield_s(dropped):
+        fleet = fleets.Fleet(4, 6)
+        fleet.dropped.update(dropped)
+        fleet.load(10, 3)
+        cut_off = [
+            one for one in fleet.worlds.values() if one.state.settings.failure_domain == worlds.HOME
+        ]
+        fleet.cuts = {frozenset((worlds.HOME, other)) for other in worlds.DOMAINS[1:]}
+        for replica in fleet.replicas.values():
+            if replica.entry.failure_domain == worlds.HOME and replica.entry.pool == "s0":
+                replica.is_dead = True  # so that each search needs another domain
+        start = fleet.now
+        while not all(reach.is_yielding(one.state, fleet.now) for one in cut_off):
+            fleet.load(10, 0.1)
+            assert fleet.now < start + 8.0
+        return fleet.now - start
+
+    assert time_to_yield_s(()) < time_to_yield_s((datagram.Lost,))
+
+
+def test_word_of_a_lost_domain_needs_two_daemons_or_own_evidence():
+    world = make({worlds.HOME: 3, "domain-b": 3, "domain-c": 3})
+    world.state.domain_faults.clear()
+    world.run(1.0)
+    for ip, is_lost in (("10.9.0.10", False), ("10.9.0.10", False), ("10.9.0.11", True)):
+        message = datagram.Lost(ip, worlds.HOME, ("domain-b",))
+        world.post(event.PeerLostDomains(message))
+        assert ("domain-b" in world.state.domain_lost_at) is is_lost
+
+
+def test_a_domain_heard_from_a_moment_ago_is_not_lost_by_hearsay():
+    world = make({worlds.HOME: 3, "domain-b": 3, "domain-c": 3})
+    world.hear("10.9.0.13", "domain-b", beat=50)
+    for ip in ("10.9.0.10", "10.9.0.11"):
+        world.post(event.PeerLostDomains(datagram.Lost(ip, worlds.HOME, ("domain-b",))))
+    assert not world.state.domain_lost_at
+
+
+def test_a_search_that_cannot_reach_its_coverage_is_refused_before_anything_is_sent():
+    world = make({worlds.HOME: 2, "domain-b": 3, "domain-c": 3})
+    for pool in ("s0", "s1"):
+        replica = next(
+            one
+            for one in world.replicas.values()
+            if one.entry.pool == pool and one.entry.failure_domain == worlds.HOME
+        )
+        world.remove(replica.entry)
+    cut(world, "domain-b", "domain-c")
+    assert world.state.isolated_since is not None
+    world.state.domain_probed_at = dict.fromkeys(("domain-b", "domain-c"), world.now)
+    sent = world.state.counters["attempts"]
+    number = world.request()
+    refused = world.results[number].effect
+    assert refused.reason is model.Refusal.COVERAGE_TOO_LOW and refused.is_not_run
+    assert world.state.counters["attempts"] == sent
+    since = world.now - world.state.isolated_since
+    assert refused.retry_after_s == pytest.approx(max(0.2, 2.3 - since), abs=0.3)
+
+
+def test_first_requests_that_open_connections_lose_no_domain():
+    world = worlds.make_search_world(10, objective_s=0.1)
+    for replica in world.replicas.values():
+        replica.work_s = 0.07
+        replica.is_dead = replica.entry.failure_domain == worlds.HOME
+    world.request()
+    for _ in range(20):
+        world.run(0.01)
+        assert not world.state.domain_lost_at
--- a/tests/engine/test_sync.py
+++ b/tests/engine/test_sync.py
@@ -1,7 +1,7 @@
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
-from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
 from hyssopproxy.engine import sync
 from tests.engine import world as worlds
@@ -129,8 +129,8 @@
     number = 0
     while sync.find_reader(world.state, world.now) == world.state.settings.ip:
         number += 1
-        record = membership.Record(f"10.9.0.{number}", worlds.HOME, 1, 1, 1, 2, is_detached)
-        world.post(event.PeerSpoke(membership.Gossip(record, ())))
+        record = datagram.Record(f"10.9.0.{number}", worlds.HOME, 1, 1, 1, 2, is_detached)
+        world.post(event.PeerSpoke(datagram.Gossip(record, ())))
         if is_detached and number > 100:
             break
     world.post(event.ChangesRead(world.state.sync.read_no, (), world.state.sync.as_of))
--- a/tests/engine/world.py
+++ b/tests/engine/world.py
@@ -7,9 +7,9 @@
 
 import attrs
 
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
-from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import reducer
@@ -35,7 +35,9 @@
     always: model.Outcome | None = None  # how each request ends at once
     pause_every_s: float = 0.0
     pause_s: float = 0.0
+    pause_phase_s: float = 0.0
     arrivals: list[float] = attrs.field(factory=list)
+    held: list[float] = attrs.field(factory=list)  # arrivals during a pause
 
     def respond(self, now: float) -> tuple[float, model.Outcome] | None:
         """Return the delay and outcome of a request, or None for silence."""
@@ -53,8 +55,9 @@
             return self.crossing_s + 0.002, model.Outcome.RESET
         delay = self.crossing_s + self.work_s * self.rng.lognormvariate(0.0, 0.3)
         if self.pause_every_s:
-            phase = now % self.pause_every_s
+            phase = (now + self.pause_phase_s) % self.pause_every_s
             if phase < self.pause_s:
+                self.held.append(now)
                 delay += self.pause_s - phase
         return delay, model.Outcome.ANSWERED
 
@@ -94,6 +97,7 @@
         self.results: dict[int, Result] = {}
         self.effects: list = []
         self.gone: set[str] = set()  # domains that are cut off
+        self.crossing_s: float | None = None  # to other domains; None for each replica's own
         self._arrived: dict[int, float] = {}
         self._queue: list = []
         self._order = itertools.count()
@@ -128,7 +132,9 @@
         sync.source = STORE
         self.post(event.ChangesRead(sync.read_no, tuple(items), self._revision))
 
-    def add_pool(self, pool: str, copies: int = 3, **fields: typing.Any) -> list[Replica]:
+    def add_pool(
+        self, pool: str, copies: int = 3, slots: int = 6, **fields: typing.Any
+    ) -> list[Replica]:
         """Start targets of a pool, one in each failure domain in turn."""
         made = []
         for index in range(copies):
@@ -139,7 +145,7 @@
                 pool=pool,
                 address=f"10.2.0.{number}:80",
                 failure_domain=domain,
-                slots=6,
+                slots=slots,
                 is_draining=False,
                 cold_left_s=0.0,
                 born_ms=number,
@@ -166,8 +172,8 @@
 
     def hear(self, ip: str, domain: str, version: int = 0, revision: int = 0, beat: int = 1):
         """Take in a datagram of another daemon."""
-        record = membership.Record(ip, domain, 1, beat, version, revision)
-        return self.post(event.PeerSpoke(membership.Gossip(record, ())))
+        record = datagram.Record(ip, domain, 1, beat, version, revision)
+        return self.post(event.PeerSpoke(datagram.Gossip(record, ())))
 
     # time
 
@@ -195,6 +201,10 @@
         answer = None
         if replica.entry.failure_domain not in self.gone:
             answer = replica.respond(self.now)
+            if answer is not None and self.crossing_s is not None:
+                is_near = replica.entry.failure_domain == self.state.settings.failure_domain
+                crossing_s = 0.0004 if is_near else self.crossing_s
+                answer = answer[0] - replica.crossing_s + crossing_s, answer[1]
         if answer is None:
             answer = wanted.time_left_s + 0.3, model.Outcome.TIMEOUT
         delay, outcome = answer
