The length of pauses is shared by averages, not by the greatest word of any daemon

In seconds 18 to 27, with shedding targets, daemons believed in pauses of up to 0.8 s: each took the greatest length that any other told, so one late answer in the wrong moment kept the fleet away from sound targets.

Ruled out: refusals of searches that cannot reach their coverage (seconds 34 to 39 only, as many failed before).

Change: the length is the 0.8 quantile of own observations with a margin; until there are any, the mean of what is told, and only measured lengths are told.

--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -46,7 +46,7 @@
 
     failure_domain: str
     period_ms: float  # of the targets' pauses; 0 while not known
-    length_ms: float
+    length_ms: float  # 0 while the sender has not measured it
     reports: tuple[Report, ...]
 
 
--- a/hyssopproxy/engine/report.py
+++ b/hyssopproxy/engine/report.py
@@ -65,7 +65,7 @@
     return datagram.Reports(
         failure_domain=state.settings.failure_domain,
         period_ms=round(recurrence.period_s * 1000, 1),
-        length_ms=round(recurrence.length_s * 1000, 1),
+        length_ms=round(recurrence.length_s * 1000, 1) if recurrence.is_length_known else 0.0,
         reports=reports,
     )
 
--- a/hyssopproxy/engine/stall.py
+++ b/hyssopproxy/engine/stall.py
@@ -11,8 +11,6 @@
 
 import attrs
 
-from hyssopproxy import quantile
-
 MIN_PERIOD_S = 0.4  # shorter periods cannot be told from noise
 MAX_PERIOD_S = 30.0
 TOLERANCE_S = 0.02  # two ends this close to a multiple of the period agree
@@ -25,8 +23,10 @@
 DIVISORS = (1, 2, 3)  # a gap may span this many periods
 MIN_SCORE = 8.0  # standard deviations by which the agreeing gaps of a period exceed chance
 LOST_SCORE = 3.0  # a period with less than this is given up
-LENGTH_RANK = 0.9  # of the delays that pauses caused
-LENGTH_MARGIN = 1.1  # over the delay of that rank, as few requests meet a pause at its start
+KEPT_LENGTHS = 64  # newest delays that pauses caused
+MIN_LENGTHS = 2  # before the length is known here
+LENGTH_RANK = 0.8  # of these delays; some of them have other causes
+LENGTH_MARGIN = 1.2  # over the delay of that rank, as few requests meet a pause at its start
 MIN_EXCESS_S = 0.03  # a delay over the usual time that may be a pause
 MIN_EXCESS = 1.5  # the same, in usual times
 MAX_EXCESS_S = 1.5  # a longer delay is no pause
@@ -44,11 +44,14 @@
 
     period_s: float = 0.0
     length_s: float = 0.0
+    is_length_known: bool = False  # from own observations
     _gaps: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=KEPT_GAPS)
     )
     _recorded: int = 0
-    _lengths: quantile.Tracker = attrs.field(factory=lambda: quantile.Tracker(LENGTH_RANK))
+    _lengths: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=KEPT_LENGTHS)
+    )
 
     def record_gap(self, gap_s: float) -> None:
         """Take in the time between two late answers of one target."""
@@ -61,12 +64,11 @@
 
     def record_length(self, excess_s: float) -> None:
         """Take in how late a known pause made an answer."""
-        self._lengths.record(excess_s)
-        known = self._lengths.read()
-        if known is None:
-            self.length_s = max(self.length_s, excess_s)
-        else:
-            self.length_s = LENGTH_MARGIN * known
+        self._lengths.append(excess_s)
+        count = len(self._lengths)
+        if count >= MIN_LENGTHS:
+            self.is_length_known = True
+            self.length_s = LENGTH_MARGIN * sorted(self._lengths)[int(LENGTH_RANK * count)]
 
     def adopt(self, period_s: float, length_s: float) -> None:
         """Take over what another daemon has learnt, while less is known here."""
@@ -74,8 +76,8 @@
             return
         if self.period_s == 0.0:
             self.period_s = period_s
-        if self._lengths.read() is None and length_s <= MAX_EXCESS_S:
-            self.length_s = max(self.length_s, length_s)
+        if not self.is_length_known and 0.0 < length_s <= MAX_EXCESS_S:
+            self.length_s = (self.length_s + length_s) / 2 if self.length_s else length_s
 
     def _refresh(self) -> None:
         if self.period_s and self._score(self.period_s) >= LOST_SCORE:
