What is known of a target's health stands apart from its choice; a regained failure domain is logged

No decision changes. reach logs domain_reached beside domain_lost, as each regained dependency is to have its line.

--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -9,6 +9,7 @@
 from hyssopproxy.engine import budget
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
+from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
 from hyssopproxy.engine import placement
@@ -256,16 +257,16 @@
         placement.note_cold(target, ended.cold_left_s, now)
     if outcome is Outcome.ANSWERED:
         latency.record(now - attempt.sent_at)
-        placement.record_answer(state, attempt, now, latency.median)
+        health.record_answer(state, attempt, now, latency.median)
     elif outcome is Outcome.SHED:
-        placement.record_shed(state, target, ended.retry_after_s, now)
+        health.record_shed(state, target, ended.retry_after_s, now)
     elif outcome is Outcome.MISDIRECTED:
         target.is_misdirected = True
         fields = {"target": target.id, "address": target.entry.address}
         out.append(effect.Log("target_address_reused", fields))
     elif outcome.is_target_fault:
         was_sound = now >= target.backoff_until
-        placement.record_fault(state, attempt, outcome, now)
+        health.record_fault(state, attempt, outcome, now)
         if was_sound and now < target.backoff_until:
             fields = {"target": target.id, "faults": target.faults, "outcome": outcome.value}
             out.append(effect.Log("target_backed_off", fields))
@@ -280,7 +281,7 @@
     for part in query.parts:
         for attempt in part.attempts:
             if attempt.hedge_at <= now and not attempt.is_overdue:
-                placement.record_overdue(state, attempt, now)
+                health.record_overdue(state, attempt, now)
     if now < query.deadline:
         for part in query.parts:
             if part.is_open:
@@ -324,9 +325,9 @@
     for attempt in state.attempts.values():
         if attempt.hedge_at <= now:
             if not attempt.is_overdue:
-                placement.record_overdue(state, attempt, now)
+                health.record_overdue(state, attempt, now)
             if not attempt.is_silent:
-                placement.record_silent(state, attempt, now)
+                health.record_silent(state, attempt, now)
 
 
 def _advance(state: states.State, query: states.Query, now: float, out: list) -> None:
--- a/hyssopproxy/engine/reach.py
+++ b/hyssopproxy/engine/reach.py
@@ -44,12 +44,12 @@
     faults = state.domain_faults.get(domain, 0) + 1
     state.domain_faults[domain] = faults
     if faults >= FAULTS_TO_SUSPECT:
-        _suspect(state, domain, now)
+        _suspect(state, domain)
 
 
-def _suspect(state: states.State, domain: str, now: float) -> None:
+def _suspect(state: states.State, domain: str) -> None:
     if domain != state.settings.failure_domain and domain not in state.domain_lost_at:
-        state.suspicions.setdefault(domain, states.Suspicion(now))
+        state.suspicions.setdefault(domain, states.Suspicion())
 
 
 def record_answer(state: states.State, domain: str, now: float) -> None:
@@ -77,7 +77,7 @@
     """Take in that a daemon of the own failure domain finds other domains out of reach."""
     if happened.message.failure_domain == state.settings.failure_domain:
         for domain in happened.message.lost:
-            _suspect(state, domain, now)
+            _suspect(state, domain)
 
 
 def handle_tick(state: states.State, now: float, out: list) -> None:
@@ -87,6 +87,9 @@
     for domain in state.domain_lost_at:
         if now - state.domain_pinged_at.get(domain, states.NEVER) >= REPING_S:
             _ping(state, domain, now, out)
+    for domain in state.domains_logged_lost - state.domain_lost_at.keys():
+        state.domains_logged_lost.remove(domain)
+        out.append(effect.Log("domain_reached", {"failure_domain": domain}, is_urgent=True))
     is_isolated = _is_minority(state)
     if is_isolated and state.isolated_since is None:
         state.isolated_since = now
@@ -127,7 +130,9 @@
     state.domain_lost_at[domain] = now
     state.domain_probed_at[domain] = now
     own = state.settings
-    out.append(effect.Log("domain_lost", {"failure_domain": domain}, is_urgent=True))
+    state.domains_logged_lost.add(domain)
+    fields = {"failure_domain": domain, "silent_requests": state.domain_faults.get(domain, 0)}
+    out.append(effect.Log("domain_lost", fields, is_urgent=True))
     message = datagram.Lost(own.failure_domain, (domain,))
     near = [one for one in state.members.values() if one.failure_domain == own.failure_domain]
     out.extend(effect.SendPeer(one.ip, message) for one in near)
--- a/hyssopproxy/engine/report.py
+++ b/hyssopproxy/engine/report.py
@@ -10,8 +10,8 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
+from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
-from hyssopproxy.engine import placement
 from hyssopproxy.engine import state as states
 
 NEAR_FANOUT = 2  # daemons of the own failure domain that are told
@@ -102,5 +102,5 @@
             continue
         finding = states.Finding(one.target_id, one.sign, now - one.age_ms / 1000, one.ratio)
         state.counters["reports_taken"] += 1
-        if placement.record_reported(state, target, finding, now):
+        if health.record_reported(state, target, finding, now):
             state.findings[one.target_id, one.sign] = finding
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -142,7 +142,6 @@
 class Suspicion:
     """A failure domain may be out of reach."""
 
-    since: float
     pinged_at: float | None = None
 
 
@@ -210,6 +209,7 @@
     domain_lost_at: dict[str, float] = attrs.field(factory=dict)
     domain_probed_at: dict[str, float] = attrs.field(factory=dict)
     domain_pinged_at: dict[str, float] = attrs.field(factory=dict)
+    domains_logged_lost: set[str] = attrs.field(factory=set)
     suspicions: dict[str, Suspicion] = attrs.field(factory=dict)  # by failure domain
     isolated_since: float | None = None  # most of the fleet is out of reach
     routes: dict[str, RouteStatistics] = attrs.field(factory=dict)
--- a/tests/engine/test_reach.py
+++ b/tests/engine/test_reach.py
@@ -68,6 +68,8 @@
     world.hear("10.9.0.15", "domain-c", beat=50)
     world.run(0.2)
     assert lifecycle.explain_unready(world.state, world.now) == ""
+    logged = [one.name for one in world.effects if isinstance(one, effect.Log)]
+    assert logged.count("domain_lost") == logged.count("domain_reached") == 2
 
 
 def test_an_isolation_without_end_does_not_keep_callers_away_for_good():
--- a/tests/engine/test_report.py
+++ b/tests/engine/test_report.py
@@ -1,7 +1,7 @@
 import pytest
 
 from hyssopproxy.engine import datagram
-from hyssopproxy.engine import placement
+from hyssopproxy.engine import health
 from tests.engine import fleet as fleets
 from tests.engine import world as worlds
 
@@ -76,10 +76,10 @@
     fleet.load(25.0, 4.0, time_left_s=0.6)
     world = next(iter(fleet.worlds.values()))
     target = next(iter(world.state.targets.values()))
-    placement.tell(world.state, target, datagram.Sign.LATE, world.now, 20.0)
+    health.tell(world.state, target, datagram.Sign.LATE, world.now, 20.0)
     fleet.run(0.5)
     others = [one.state.targets_by_id[target.id] for one in fleet.worlds.values()]
-    assert max(placement.slowness(one, fleet.now) for one in others) < placement.SLOW_RATIO
+    assert max(health.slowness(one, fleet.now) for one in others) < health.SLOW_RATIO
 
 
 def test_reports_are_bounded_and_fit_a_datagram():
@@ -103,9 +103,9 @@
         for domain in worlds.DOMAINS[:2]
     )
     target = next(iter(far.state.targets.values()))
-    placement.tell(far.state, target, datagram.Sign.FAILED, far.now)
+    health.tell(far.state, target, datagram.Sign.FAILED, far.now)
     fleet.run(1.0)
-    assert placement.failure_rate(own.state.targets_by_id[target.id], own.now) == 0.0
+    assert health.failure_rate(own.state.targets_by_id[target.id], own.now) == 0.0
 
 
 def test_a_daemon_that_starts_is_told_when_targets_pause():
