--- /dev/null
+++ b/tests/engine/test_datagram.py
@@ -0,0 +1,29 @@
+import pytest
+
+from hyssopproxy.engine import datagram
+
+RECORD = datagram.Record("10.9.0.1", "domain-a", 5, 1, 2, 3)
+MESSAGES = (
+    datagram.Gossip(RECORD, (RECORD,)),
+    datagram.Reports(
+        "domain-a", 2400.0, 100.0, (datagram.Report("i-1", datagram.Sign.LATE, 20, 4.5),)
+    ),
+    datagram.Lost("domain-a", ("domain-b",)),
+    datagram.Ping("10.9.0.1"),
+)
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_what_is_sent_is_what_arrives(message):
+    assert datagram.decode(datagram.encode(message)) == message
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_a_datagram_that_is_cut_short_is_none(message):
+    blob = datagram.encode(message)
+    assert all(datagram.decode(blob[:size]) is None for size in range(len(blob)))
+
+
+@pytest.mark.parametrize("blob", [b"", b"\x00\x01", b"\x92\x63\xa1x", b"\xff" * 100])
+def test_other_bytes_are_no_message(blob):
+    assert datagram.decode(blob) is None
