One copy of limits, one notice time of the balancer; state that could be derived is gone

From a reading of the whole change: Limits stood in engine/model and transport/server and was copied field by field; the balancer's notice was two constants; Recurrence kept whether its length is known, reach a class for one time; Room had a field that nothing read; the two operators' pages repeated their path check. The test replica takes the way there instead of its answer being corrected afterwards.

--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -17,7 +17,7 @@
 
 TICK_S = 0.05
 PAUSE_S = 0.5  # a tick later than this means that the process stood still
-NOTICE_S = 3.0  # the balancer takes a daemon out within this time
+ACCEPT_S = reach.NOTICE_S + 1.0  # after SIGTERM; a question of the balancer may be on its way
 END_MARGIN_S = 0.5  # before the process is killed
 
 
@@ -80,7 +80,7 @@
     if state.stopping_at is None:
         return
     age = now - state.stopping_at
-    if age >= NOTICE_S and not state.has_stopped_accepting:
+    if age >= ACCEPT_S and not state.has_stopped_accepting:
         state.has_stopped_accepting = True
         out.append(effect.StopAccepting())
     is_done = state.has_stopped_accepting and not state.queries
--- a/hyssopproxy/engine/model.py
+++ b/hyssopproxy/engine/model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from hyssopproxy import limit
+
 
 @attrs.frozen
 class Weight:
@@ -50,16 +52,6 @@
     cold_per_s: float = 0.0  # requests a second that a cold target bears; 0 for no bound
 
 
-@attrs.frozen
-class Limits:
-    """What a caller's connection may send, and how long it may take."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 1 << 20
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 30.0
-
-
 @attrs.frozen
 class RoutingTable:
     """One published version of the configuration."""
@@ -67,7 +59,7 @@
     version: int
     routes: tuple[Route, ...]
     pools: dict[str, Pool]
-    limits: Limits = Limits()
+    limits: limit.Limits = limit.Limits()
     by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -4,8 +4,6 @@
 domains that are out of reach, and targets in their cold start.
 """
 
-import attrs
-
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
@@ -172,23 +170,13 @@
     return False
 
 
-@attrs.frozen
-class Room:
-    """Whether a pool can serve at all, and why not."""
-
-    targets: int
-    usable: int
-
-
-def count_room(state: states.State, pool: str, now: float) -> Room:
-    """Return how many targets of a pool are known and in service."""
-    targets = state.pools.get(pool, {}).values()
-    usable = sum(
+def is_served(state: states.State, pool: str, now: float) -> bool:
+    """Return whether a pool has a target that is in service and not backed off."""
+    return any(
         target.gone_at is None
         and target.draining_at is None
         and now >= target.backoff_until
         and target.entry.failure_domain not in state.domain_lost_at
         and target.entry.failure_domain not in state.domains_out.values()
-        for target in targets
+        for target in state.pools.get(pool, {}).values()
     )
-    return Room(len(targets), usable)
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -139,9 +139,8 @@
     """Keep a part for a moment in which a target or budget may come free."""
     if part.waiting_since is None:
         part.waiting_since = now
-    room = placement.count_room(state, part.pool, now)
     patience_s = PATIENCE * part.query.route.objective_s
-    if room.usable == 0 or now - part.waiting_since >= patience_s:
+    if not placement.is_served(state, part.pool, now) or now - part.waiting_since >= patience_s:
         part.reason = f"{part.reason} {reason}".strip()
         _give_up(part, reason)
         return
--- a/hyssopproxy/engine/reach.py
+++ b/hyssopproxy/engine/reach.py
@@ -49,13 +49,13 @@
 
 def _suspect(state: states.State, domain: str) -> None:
     if domain != state.settings.failure_domain and domain not in state.domain_lost_at:
-        state.suspicions.setdefault(domain, states.Suspicion())
+        state.suspected.setdefault(domain, None)
 
 
 def record_answer(state: states.State, domain: str, now: float) -> None:
     """Take in that something in a failure domain answered."""
     state.domain_faults[domain] = 0
-    state.suspicions.pop(domain, None)
+    state.suspected.pop(domain, None)
     if state.domain_lost_at.pop(domain, None) is None:
         return
     for target in state.targets.values():
@@ -82,8 +82,8 @@
 
 def handle_tick(state: states.State, now: float, out: list) -> None:
     """Ping domains that are silent; note whether most of the fleet is out of reach."""
-    for domain, suspicion in list(state.suspicions.items()):
-        _examine(state, domain, suspicion, now, out)
+    for domain in list(state.suspected):
+        _examine(state, domain, now, out)
     for domain in state.domain_lost_at:
         if now - state.domain_pinged_at.get(domain, states.NEVER) >= REPING_S:
             _ping(state, domain, now, out)
@@ -100,16 +100,15 @@
         out.append(effect.Log("rejoined", {"after_s": seconds}))
 
 
-def _examine(
-    state: states.State, domain: str, suspicion: states.Suspicion, now: float, out: list
-) -> None:
+def _examine(state: states.State, domain: str, now: float, out: list) -> None:
     """Ping the daemons of a silent domain, and count it as lost when none of them answers."""
-    if suspicion.pinged_at is None:
+    pinged_at = state.suspected[domain]
+    if pinged_at is None:
         if _ping(state, domain, now, out):
-            suspicion.pinged_at = now
+            state.suspected[domain] = now
         elif state.domain_faults.get(domain, 0) >= FAULTS_TO_LOST:
             _lose(state, domain, now, out)
-    elif now - suspicion.pinged_at >= PING_WAIT_S:
+    elif now - pinged_at >= PING_WAIT_S:
         _lose(state, domain, now, out)
 
 
@@ -126,7 +125,7 @@
 
 def _lose(state: states.State, domain: str, now: float, out: list) -> None:
     """Count a domain as lost, and tell the daemons of the own one."""
-    del state.suspicions[domain]
+    del state.suspected[domain]
     state.domain_lost_at[domain] = now
     state.domain_probed_at[domain] = now
     own = state.settings
--- a/hyssopproxy/engine/stall.py
+++ b/hyssopproxy/engine/stall.py
@@ -44,7 +44,6 @@
 
     period_s: float = 0.0
     length_s: float = 0.0
-    is_length_known: bool = False  # from own observations
     _gaps: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=KEPT_GAPS)
     )
@@ -53,6 +52,11 @@
         factory=lambda: collections.deque(maxlen=KEPT_LENGTHS)
     )
 
+    @property
+    def is_length_known(self) -> bool:
+        """Whether the length comes from own observations."""
+        return len(self._lengths) >= MIN_LENGTHS
+
     def record_gap(self, gap_s: float) -> None:
         """Take in the time between two late answers of one target."""
         if not MIN_PERIOD_S <= gap_s <= MAX_PERIOD_S:
@@ -65,10 +69,10 @@
     def record_length(self, excess_s: float) -> None:
         """Take in how late a known pause made an answer."""
         self._lengths.append(excess_s)
-        count = len(self._lengths)
-        if count >= MIN_LENGTHS:
-            self.is_length_known = True
-            self.length_s = LENGTH_MARGIN * sorted(self._lengths)[int(LENGTH_RANK * count)]
+        if self.is_length_known:
+            self.length_s = (
+                LENGTH_MARGIN * sorted(self._lengths)[int(LENGTH_RANK * len(self._lengths))]
+            )
 
     def adopt(self, period_s: float, length_s: float) -> None:
         """Take over what another daemon has learnt, while less is known here."""
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -139,13 +139,6 @@
     ratio: float = 0.0  # latency against what is usual
 
 
-@attrs.define
-class Suspicion:
-    """A failure domain may be out of reach."""
-
-    pinged_at: float | None = None
-
-
 @attrs.define(eq=False)
 class Member:
     """Another daemon."""
@@ -212,7 +205,7 @@
     domain_probed_at: dict[str, float] = attrs.field(factory=dict)
     domain_pinged_at: dict[str, float] = attrs.field(factory=dict)
     domains_logged_lost: set[str] = attrs.field(factory=set)
-    suspicions: dict[str, Suspicion] = attrs.field(factory=dict)  # by failure domain
+    suspected: dict[str, float | None] = attrs.field(factory=dict)  # domain -> when pinged
     isolated_since: float | None = None  # most of the fleet is out of reach
     routes: dict[str, RouteStatistics] = attrs.field(factory=dict)
     budgets: dict[str, budget.Budget] = attrs.field(factory=dict)  # by pool
--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hyssopproxy import limit
 from hyssopproxy.engine import model
 
 CONFIG_KEY = "op/config"
@@ -142,7 +143,7 @@
         version=config.version,
         routes=tuple(_make_route(one) for one in config.routes),
         pools=pools,
-        limits=model.Limits(
+        limits=limit.Limits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
             header_timeout_s=limits.header_timeout_ms / 1000,
--- a/hyssopproxy/platform/operator.py
+++ b/hyssopproxy/platform/operator.py
@@ -1,42 +1,51 @@
 """The balancer's question and the operators' metrics."""
 
+import abc
+
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.platform import runtime as runtimes
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
 from hyssopproxy.transport import server
 
-READY_PATH = b"/v1/ready"
-METRICS_PATH = b"/metrics"
 
+class Page(server.Handler):
+    """One page about a daemon; any other path is not found."""
 
-class Readiness(server.Handler):
-    """Tells the balancer whether to send new connections here."""
+    #: Path of the page.
+    path = b""
 
     def __init__(self, runtime: runtimes.Runtime) -> None:
         self._runtime = runtime
 
     def handle(self, request: message.Request, connection: server.Connection) -> None:
-        if request.target != READY_PATH:
-            connection.reply(message.Response(404, []))
-            return
+        is_found = request.target == self.path
+        connection.reply(self.render() if is_found else message.Response(404, []))
+
+    @abc.abstractmethod
+    def render(self) -> message.Response:
+        """Return the page as it is now."""
+
+
+class Readiness(Page):
+    """Tells the balancer whether to send new connections here."""
+
+    path = b"/v1/ready"
+
+    def render(self) -> message.Response:
         reason = lifecycle.explain_unready(self._runtime.state, clock.read())
-        connection.reply(message.Response(503 if reason else 200, [], reason.encode()))
+        return message.Response(503 if reason else 200, [], reason.encode())
 
 
-class Metrics(server.Handler):
+class Metrics(Page):
     """Serves counters and latency histograms as text."""
 
-    def __init__(self, runtime: runtimes.Runtime) -> None:
-        self._runtime = runtime
+    path = b"/metrics"
 
-    def handle(self, request: message.Request, connection: server.Connection) -> None:
-        if request.target != METRICS_PATH:
-            connection.reply(message.Response(404, []))
-            return
+    def render(self) -> message.Response:
         body = self._runtime.metrics.render(self._count()).encode()
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
-        connection.reply(message.Response(200, headers, body))
+        return message.Response(200, headers, body)
 
     def _count(self) -> dict[str, int]:
         runtime = self._runtime
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -9,7 +9,6 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
-from hyssopproxy.engine import model
 from hyssopproxy.engine import reducer
 from hyssopproxy.engine import state as states
 from hyssopproxy.platform import ingress as ingresses
@@ -38,7 +37,6 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
         self._pump = pump.Pump(self._reduce, self._perform)
-        self._limits: model.Limits | None = None  # in force
 
     async def start(self) -> None:
         """Begin to tick and to listen to other daemons."""
@@ -52,7 +50,8 @@
         """Give the reducer one event and carry out its effects."""
         self._pump.post(happened)
         self.ingress.moves_callers = self.state.is_unready in ("stopping", "isolated")
-        self._note_limits()
+        if self.state.table is not None:
+            self.ingress.limits = self.state.table.limits
 
     def _reduce(self, happened: typing.Any) -> list:
         return reducer.reduce(self.state, happened, clock.read())
@@ -60,17 +59,6 @@
     def _perform(self, wanted: typing.Any) -> None:
         _PERFORM[type(wanted)](self, wanted)
 
-    def _note_limits(self) -> None:
-        table = self.state.table
-        if table is not None and table.limits is not self._limits:
-            self._limits = table.limits
-            self.ingress.limits = server.Limits(
-                header_bytes=table.limits.header_bytes,
-                body_bytes=table.limits.body_bytes,
-                header_timeout_s=table.limits.header_timeout_s,
-                idle_timeout_s=table.limits.idle_timeout_s,
-            )
-
     def _spawn(self, work: typing.Coroutine) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -5,9 +5,9 @@
 import collections
 import typing
 
-import attrs
 import httptools
 
+from hyssopproxy import limit
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
 
@@ -18,21 +18,11 @@
 LINGER_S = 1.0  # after a final answer, for the peer to read it before the close
 
 
-@attrs.define
-class Limits:
-    """What a caller may send and how long it may take."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 1 << 20
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 60.0
-
-
 class Handler(abc.ABC):
     """Takes requests from connections."""
 
     #: Limits in force; read for each request.
-    limits = Limits()
+    limits = limit.Limits()
 
     @abc.abstractmethod
     def handle(self, request: message.Request, connection: "Connection") -> None:
--- a/tests/engine/world.py
+++ b/tests/engine/world.py
@@ -39,21 +39,28 @@
     arrivals: list[float] = attrs.field(factory=list)
     held: list[float] = attrs.field(factory=list)  # arrivals during a pause
 
-    def respond(self, now: float) -> tuple[float, model.Outcome] | None:
-        """Return the delay and outcome of a request, or None for silence."""
+    def respond(
+        self, now: float, crossing_s: float | None = None
+    ) -> tuple[float, model.Outcome] | None:
+        """Return the delay and outcome of a request, or None for silence.
+
+        `crossing_s` is the way there from a daemon that is not at home.
+        """
+        if crossing_s is None:
+            crossing_s = self.crossing_s
         if self.is_dead:
-            return self.crossing_s, model.Outcome.CONNECT
+            return crossing_s, model.Outcome.CONNECT
         if self.is_dark:
             return None
         if self.always is not None:
-            return self.crossing_s + 0.001, self.always
+            return crossing_s + 0.001, self.always
         self.arrivals.append(now)
         draw = self.rng.random()
         if draw < self.shed_part:
-            return self.crossing_s + 0.001, model.Outcome.SHED
+            return crossing_s + 0.001, model.Outcome.SHED
         if draw < self.shed_part + self.fail_part:
-            return self.crossing_s + 0.002, model.Outcome.RESET
-        delay = self.crossing_s + self.work_s * self.rng.lognormvariate(0.0, 0.3)
+            return crossing_s + 0.002, model.Outcome.RESET
+        delay = crossing_s + self.work_s * self.rng.lognormvariate(0.0, 0.3)
         if self.pause_every_s:
             phase = (now + self.pause_phase_s) % self.pause_every_s
             if phase < self.pause_s:
@@ -200,17 +207,19 @@
         replica = self.replicas[wanted.target_id]
         answer = None
         if replica.entry.failure_domain not in self.gone:
-            answer = replica.respond(self.now)
-            if answer is not None and self.crossing_s is not None:
-                is_near = replica.entry.failure_domain == self.state.settings.failure_domain
-                crossing_s = 0.0004 if is_near else self.crossing_s
-                answer = answer[0] - replica.crossing_s + crossing_s, answer[1]
+            answer = replica.respond(self.now, self._crossing_s(replica))
         if answer is None:
             answer = wanted.time_left_s + 0.3, model.Outcome.TIMEOUT
         delay, outcome = answer
         ended = event.AttemptEnded(wanted.attempt_no, outcome, reply=wanted.target_id)
         self._at(self.now + delay, ended)
 
+    def _crossing_s(self, replica: Replica) -> float | None:
+        if self.crossing_s is None:
+            return None
+        is_near = replica.entry.failure_domain == self.state.settings.failure_domain
+        return 0.0004 if is_near else self.crossing_s
+
     def _at(self, at: float, happened: typing.Any) -> None:
         heapq.heappush(self._queue, (at, next(self._order), happened))
 
