--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import sys
@@ -75,8 +76,9 @@
         return keeps_open
 
     async def _fault(self) -> None:
-        kinds = (self._kill, self._pause, self._stop, self._hang_up, self._leaf, self._link)
-        kinds += (self._store, self._configure, self._drain)
+        to_daemons = (self._kill, self._pause, self._stop, self._hang_up)
+        kinds = [functools.partial(self._disturb_daemon, fault) for fault in to_daemons]
+        kinds += (self._leaf, self._link, self._store, self._configure, self._drain)
         while time.monotonic() < self._until:
             await self._rng.choice(kinds)()
             await asyncio.sleep(self._rng.uniform(0.0, 0.6))
@@ -84,53 +86,45 @@
     def _note(self, text: str) -> None:
         self.events.append(text)
 
-    @contextlib.asynccontextmanager
-    async def _one_daemon(self) -> typing.AsyncIterator[sites.Daemon | None]:
+    async def _disturb_daemon(
+        self, fault: typing.Callable[[sites.Daemon], typing.Awaitable[None]]
+    ) -> None:
+        """Play a fault on a daemon that no other fault has stopped."""
         free = [one for one in self._site.daemons if one.host not in self._down]
-        daemon = self._rng.choice(free) if free else None
-        if daemon is not None:
-            self._down.add(daemon.host)
+        if not free:
+            return
+        daemon = self._rng.choice(free)
+        self._down.add(daemon.host)
         try:
-            yield daemon
+            await fault(daemon)
         finally:
-            if daemon is not None:
-                self._down.discard(daemon.host)
+            self._down.discard(daemon.host)
 
-    async def _kill(self) -> None:
-        async with self._one_daemon() as daemon:
-            if daemon is None:
-                return
-            self._note(f"kill {daemon.host}")
-            daemon.signal(signal.SIGKILL)
-            await daemon.wait()
-            await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-            await self._site.start(daemon)
+    async def _kill(self, daemon: sites.Daemon) -> None:
+        self._note(f"kill {daemon.host}")
+        daemon.signal(signal.SIGKILL)
+        await daemon.wait()
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        await self._site.start(daemon)
 
-    async def _pause(self) -> None:
-        async with self._one_daemon() as daemon:
-            if daemon is None:
-                return
-            self._note(f"pause {daemon.host}")
-            daemon.signal(signal.SIGSTOP)
-            await asyncio.sleep(self._rng.uniform(0.2, 2.5))
-            daemon.signal(signal.SIGCONT)
+    async def _pause(self, daemon: sites.Daemon) -> None:
+        self._note(f"pause {daemon.host}")
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.2, 2.5))
+        daemon.signal(signal.SIGCONT)
 
-    async def _stop(self) -> None:
-        async with self._one_daemon() as daemon:
-            if daemon is None:
-                return
-            self._note(f"stop {daemon.host}")
-            daemon.signal(signal.SIGTERM)
-            status = await daemon.wait()
-            if status not in (0, -signal.SIGTERM):  # the latter while the process is starting
-                self._ledger.blame(f"{daemon.host}: a stop ended with status {status}")
-            await self._site.start(daemon)
+    async def _stop(self, daemon: sites.Daemon) -> None:
+        self._note(f"stop {daemon.host}")
+        daemon.signal(signal.SIGTERM)
+        status = await daemon.wait()
+        if status not in (0, -signal.SIGTERM):  # the latter while the process is starting
+            self._ledger.blame(f"{daemon.host}: a stop ended with status {status}")
+        await self._site.start(daemon)
 
-    async def _hang_up(self) -> None:
-        async with self._one_daemon() as daemon:
-            if daemon is not None and daemon.handles_hangup():
-                self._note(f"hang up {daemon.host}")
-                daemon.signal(signal.SIGHUP)
+    async def _hang_up(self, daemon: sites.Daemon) -> None:
+        if daemon.handles_hangup():
+            self._note(f"hang up {daemon.host}")
+            daemon.signal(signal.SIGHUP)
 
     async def _leaf(self) -> None:
         leaf = self._rng.choice(list(self._site.leafs.values()))
