--- a/tests/engine/test_catalog.py
+++ b/tests/engine/test_catalog.py
@@ -5,15 +5,6 @@
 from tests.engine import world as worlds
 
 
-def make():
-    world = worlds.World()
-    world.add_pool("p")
-    world.serve(worlds.plain_route())
-    world.start()
-    world.run(1.0)
-    return world
-
-
 def served_by(world, count=12):
     began = world.now
     world.load(40, count / 40, path="/p/x")
@@ -24,7 +15,7 @@
 
 
 def test_a_draining_target_gets_no_new_work():
-    world = make()
+    world = worlds.make_plain_world()
     entry = world.replicas["p-0"].entry
     world.publish(attrs.evolve(entry, is_draining=True))
     assert "p-0" not in served_by(world)
@@ -32,7 +23,7 @@
 
 def test_all_targets_draining_are_used_for_a_moment_only():
     """Until the next ones are published; well before a draining target stops serving."""
-    world = make()
+    world = worlds.make_plain_world()
     for replica in world.replicas.values():
         world.publish(attrs.evolve(replica.entry, is_draining=True))
     assert served_by(world, 4)
@@ -41,7 +32,7 @@
 
 
 def test_a_removed_target_is_the_last_choice_and_then_none():
-    world = make()
+    world = worlds.make_plain_world()
     world.remove(world.replicas["p-0"].entry)
     assert "p-0" not in served_by(world)
     for name in ("p-1", "p-2"):
@@ -52,7 +43,7 @@
 
 
 def test_an_entry_that_lapsed_and_is_back_serves_again():
-    world = make()
+    world = worlds.make_plain_world()
     entry = world.replicas["p-0"].entry
     world.remove(entry)
     world.run(1.0)
@@ -61,7 +52,7 @@
 
 
 def test_an_older_item_never_replaces_a_newer_one():
-    world = make()
+    world = worlds.make_plain_world()
     entry = world.replicas["p-0"].entry
     world.publish(attrs.evolve(entry, is_draining=True))
     stale = model.Change("targets/p-0", 1, entry)
@@ -70,7 +61,7 @@
 
 
 def test_a_removal_is_not_undone_by_a_late_repeat():
-    world = make()
+    world = worlds.make_plain_world()
     entry = world.replicas["p-0"].entry
     revision = world.state.sync.revisions["targets/p-0"]
     world.remove(entry)
@@ -79,7 +70,7 @@
 
 
 def test_a_new_start_under_the_same_id_knows_nothing_of_before():
-    world = make()
+    world = worlds.make_plain_world()
     target = world.state.targets["targets/p-0"]
     target.faults = 9
     target.backoff_until = world.now + 100
@@ -89,7 +80,7 @@
 
 
 def test_a_target_that_is_not_the_one_published_is_left():
-    world = make()
+    world = worlds.make_plain_world()
     world.replicas["p-0"].always = model.Outcome.MISDIRECTED
     served_by(world)
     assert world.state.targets["targets/p-0"].is_misdirected
@@ -97,7 +88,7 @@
 
 
 def test_an_older_configuration_changes_nothing():
-    world = make()
+    world = worlds.make_plain_world()
     newer = model.RoutingTable(5, (worlds.plain_route(name="new"),), {})
     older = model.RoutingTable(4, (), {})
     world.publish(newer)
@@ -106,7 +97,7 @@
 
 
 def test_an_unusable_item_is_counted_and_names_no_target():
-    world = make()
+    world = worlds.make_plain_world()
     world.post_changes([model.Change("targets/x", 999, None, fault="bad address")])
     assert "targets/x" not in world.state.targets
     assert world.state.counters["items_refused"] == 1
@@ -114,7 +105,7 @@
 
 
 def test_a_domain_taken_out_gets_nothing_until_it_is_back():
-    world = make()
+    world = worlds.make_plain_world()
     world.publish(model.Evacuation(worlds.HOME))
     assert "p-0" not in served_by(world, 30)
     world.post_changes([model.Change(f"out/{worlds.HOME}", 998, None)])
@@ -157,7 +148,7 @@
 
 
 def test_a_complete_listing_drops_what_it_does_not_hold():
-    world = make()
+    world = worlds.make_plain_world()
     world.state.sync.as_of = None
     kept = world.replicas["p-1"].entry
     revision = world.state.sync.revisions["targets/p-1"]
--- a/tests/engine/test_query.py
+++ b/tests/engine/test_query.py
@@ -12,13 +12,18 @@
 
 
 def make_plain(**fields):
-    world = worlds.World()
-    world.add_pool("p")
-    world.serve(worlds.plain_route(**fields))
-    world.meet(7)
-    world.start()
+    return worlds.make_plain_world(members=7, seconds=3.0, **fields)
+
+
+def play_unsafe(**faults):
+    """Send one unsafe request to targets that all have the same faults."""
+    world = make_plain(is_idempotent=False)
+    for replica in world.replicas.values():
+        for name, value in faults.items():
+            setattr(replica, name, value)
+    number = world.request("/p/x", 2.0)
     world.run(3.0)
-    return world
+    return world, world.results[number].effect
 
 
 def sends(world):
@@ -92,13 +97,9 @@
 
 
 def test_an_unsafe_request_is_sent_once_even_when_its_answer_is_lost():
-    world = make_plain(is_idempotent=False)
-    for replica in world.replicas.values():
-        replica.fail_part = 1.0
-    number = world.request("/p/x", 2.0)
-    world.run(3.0)
+    world, refused = play_unsafe(fail_part=1.0)
     assert world.arrivals() == 1
-    assert not world.results[number].effect.is_not_run
+    assert not refused.is_not_run
 
 
 @pytest.mark.parametrize("outcome", [Outcome.SHED, Outcome.CONNECT, Outcome.MISDIRECTED])
@@ -112,12 +113,8 @@
 
 
 def test_an_unsafe_request_that_nobody_could_take_is_refused_as_not_run():
-    world = make_plain(is_idempotent=False)
-    for replica in world.replicas.values():
-        replica.shed_part = 1.0
-    number = world.request("/p/x", 2.0)
-    world.run(3.0)
-    assert world.results[number].effect.is_not_run
+    _, refused = play_unsafe(shed_part=1.0)
+    assert refused.is_not_run
 
 
 def test_max_attempts_of_one_binds_hedges_and_retries():
--- a/tests/engine/test_sync.py
+++ b/tests/engine/test_sync.py
@@ -11,15 +11,6 @@
     return [one for one in world.effects if isinstance(one, (effect.ReadPage, effect.ReadChanges))]
 
 
-def make():
-    world = worlds.World()
-    world.add_pool("p")
-    world.serve(worlds.plain_route())
-    world.start()
-    world.run(0.5)
-    return world
-
-
 def test_a_start_lists_and_then_watches_from_the_first_page():
     world = worlds.World()
     world.start()
@@ -35,14 +26,14 @@
 
 
 def test_only_one_read_is_in_flight():
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     before = len(reads(world))
     world.run(1.0)
     assert len(reads(world)) == before
 
 
 def test_a_dropped_history_is_listed_anew():
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     world.post(event.ReadFailed(world.state.sync.read_no, "status 410", is_compacted=True))
     assert isinstance(reads(world)[-1], effect.ReadPage)
     assert world.state.table is not None
@@ -50,7 +41,7 @@
 
 def test_failed_reads_are_spaced_out():
     """Load pattern: the store is down and every daemon asks again."""
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     before = len(reads(world))
     for _ in range(400):
         world.run(0.05)
@@ -60,13 +51,13 @@
 
 
 def test_an_answer_of_an_abandoned_read_changes_nothing():
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     world.post(event.ChangesRead(999_999, (model.Change("targets/p-0", 900, None),), 900))
     assert world.state.targets["targets/p-0"].gone_at is None
 
 
 def test_a_peer_that_knows_more_is_read_while_the_own_watch_hears_nothing():
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     world.hear("10.9.0.9", "domain-b", version=9, revision=999)
     world.run(0.3)
     assert not any(one.source != worlds.STORE for one in reads(world))
@@ -89,7 +80,7 @@
 
 
 def test_a_peer_with_an_older_version_is_not_read():
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     world.state.sync.failures = 5
     world.hear("10.9.0.9", "domain-b", version=0, revision=999)
     world.run(2.0)
@@ -97,7 +88,7 @@
 
 
 def test_a_read_of_a_peer_that_fails_goes_back_to_the_store():
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     world.hear("10.9.0.9", "domain-b", version=9, revision=999)
     world.run(0.9)
     assert reads(world)[-1].source == "10.9.0.9:99"
@@ -125,7 +116,7 @@
 
 def follow(is_detached=False):
     """A world that has one other daemon in its domain, which ranks first as its reader."""
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     number = 0
     while sync.find_reader(world.state, world.now) == world.state.settings.ip:
         number += 1
@@ -161,7 +152,7 @@
 
 def test_the_daemon_with_the_widest_link_passes_changes_on():
     """A reader on a narrow link held up its own requests while it passed a large table on."""
-    world = make()
+    world = worlds.make_plain_world(seconds=0.5)
     for number in range(30):
         wide = 200.0 if number == 17 else 20.0
         record = datagram.Record(
--- a/tests/engine/world.py
+++ b/tests/engine/world.py
@@ -328,3 +328,14 @@
     world.start()
     world.run(3.0)
     return world
+
+
+def make_plain_world(members: int = 0, seconds: float = 1.0, **fields: typing.Any) -> World:
+    """Return a world that serves one plain route and has run for some time."""
+    world = World()
+    world.add_pool("p")
+    world.serve(plain_route(**fields))
+    world.meet(members)
+    world.start()
+    world.run(seconds)
+    return world
