--- a/bench/process.py
+++ b/bench/process.py
@@ -13,6 +13,8 @@
 import attrs
 import msgspec
 
+from bench import memory
+
 WAIT_S = 60.0  # timeout of waits; long, so that tests do not fail on a busy machine
 POLL_S = 0.03
 _ASSIGNED: set[str] = set()  # addresses that free_address has returned
@@ -106,5 +108,4 @@
 
     def memory_mb(self) -> float:
         """Return the resident memory in MB."""
-        with open(f"/proc/{self.popen.pid}/statm") as file:
-            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+        return memory.resident_bytes(self.popen.pid) / 1e6
--- a/bench/site.py
+++ b/bench/site.py
@@ -90,6 +90,7 @@
         self.daemons: list[Daemon] = []
         self.version = 1
         self._ids = itertools.count(1)
+        self.last_request_id = b""
         self._directory = tempfile.TemporaryDirectory()
         self._log_readers: list[asyncio.Task] = []
         self._ports: dict[str, int] = {}
@@ -248,7 +249,9 @@
         return f"{method} {target} HTTP/1.1\r\n{text}\r\n".encode() + body
 
     def next_request_id(self) -> str:
-        return f"id{next(self._ids):06}"
+        request_id = f"id{next(self._ids):06}"
+        self.last_request_id = request_id.encode()
+        return request_id
 
     async def connect(self, daemon: Daemon):
         """Open a connection to a daemon's front address; return its reader and writer."""
--- a/hyssopproxy/emulator/replica.py
+++ b/hyssopproxy/emulator/replica.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from hyssopproxy.emulator import endless
 from hyssopproxy.transport import message
 
 
@@ -26,7 +27,8 @@
 
     Faults: shed, other (another leaf has the address), error, silent, reset, truncate, garbage,
     extra (a stale response precedes the valid one), unframed (no Content-Length), unsigned (no
-    Server-Stamp).
+    Server-Stamp), cut (the response ends after `cut_bytes`), copy (a second copy of the response
+    follows with the next request), trickle, or a name of `endless.RESPONSES`.
     """
 
     def __init__(self, name: str, records: typing.Sequence[bytes] = ()) -> None:
@@ -34,6 +36,9 @@
         self.records = list(records)
         self.fault = ""
         self.delay_s = 0.0
+        self.cut_bytes = 0  # negative: counted from the end of the response
+        self.echoes_id = True  # responses name the request
+        self.copies_sent = 0
         self.pause_every_s = 0.0  # 0 for no pauses
         self.pause_s = 0.0
         self.runs: list[Run] = []
@@ -42,6 +47,7 @@
         self.address = ""
         self.counters: collections.Counter = collections.Counter()
         self._server: asyncio.Server | None = None
+        self._last_responses: dict[asyncio.StreamWriter, bytes] = {}
 
     async def start(self, host: str) -> None:
         """Listen on a free port."""
@@ -99,7 +105,8 @@
         if pause_left_s := self._pause_left_s():
             await asyncio.sleep(pause_left_s)
         headers = [("Server-Stamp", f"{self.name}.{run.request_id}")]
-        headers.append(("Request-Id", run.request_id))
+        if self.echoes_id:
+            headers.append(("Request-Id", run.request_id))
         body = b"".join(self.records) or f"{self.name} {run.target}".encode()
         if self.fault == "silent":
             await asyncio.sleep(3600)
@@ -113,10 +120,20 @@
         if self.fault == "garbage":
             writer.write(b"\x16\x03\x01 no answer\r\n\r\n")
             return False
+        lines = "".join(f"{key}: {value}\r\n" for key, value in headers).encode()
         if self.fault == "unframed":
-            lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
-            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n" + body)
             return False
+        if self.fault in endless.RESPONSES or self.fault == endless.TRICKLE:
+            await endless.send(writer, self.fault, lines)
+        if self.fault == "cut":
+            writer.write(_encode_response(200, headers, body)[: self.cut_bytes])
+            return False
+        if self.fault == "copy":
+            if writer in self._last_responses:
+                self.copies_sent += 1
+                writer.write(self._last_responses[writer])
+            self._last_responses[writer] = _encode_response(200, headers, body)
         if self.fault == "extra":
             stale = [("Server-Stamp", f"{self.name}.stale"), ("Request-Id", "stale")]
             writer.write(_encode_response(200, stale, b"stale answer 123"))
--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -22,6 +22,7 @@
     not_after: float
     needs_fresh_connection: bool
     max_connections: int  # this daemon's share of the target's connection limit
+    top_k: int | None = None  # records needed of a shard's answer; None for a plain request
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -35,6 +35,7 @@
     reply: typing.Any = None  # set if the answer was complete; the engine does not interpret it
     retry_after_s: float = 0.0  # stated by a target that shed the request
     cold_left_s: float | None = None  # remaining cold start, as stated by the target
+    detail: str = ""  # why there is no valid answer
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -210,6 +210,7 @@
             not_after=now + SEND_GRACE_S,
             needs_fresh_connection=not route.is_idempotent,
             max_connections=placement.connection_share(state, target, now),
+            top_k=route.top_k if route.is_search else None,
         )
     )
 
@@ -273,6 +274,8 @@
         fields = {"target": target.id, "address": target.entry.address}
         out.append(effect.Log("target_address_reused", fields))
     elif outcome.is_target_fault:
+        if outcome is Outcome.GARBLED:
+            _log_garbled(state, attempt, ended.detail, out)
         was_healthy = now >= target.backoff_until
         health.record_fault(state, attempt, outcome, now)
         if was_healthy and now < target.backoff_until:
@@ -284,6 +287,18 @@
             out.append(effect.Log("target_backed_off", fields))
 
 
+def _log_garbled(state: states.State, attempt: states.Attempt, detail: str, out: list) -> None:
+    if detail:
+        state.counters[f"answers_{detail}"] += 1
+    fields = {
+        "request_id": attempt.part.query.request_id,
+        "target": attempt.target.id,
+        "pool": attempt.part.pool,
+        "reason": detail or "unsigned",
+    }
+    out.append(effect.Log("answer_garbled", fields))
+
+
 def handle_due(state: states.State, due: event.QueryDue, now: float, out: list) -> None:
     """Send the hedges that are due, or answer the request."""
     query = state.queries.get(due.query_no)
--- a/hyssopproxy/limit.py
+++ b/hyssopproxy/limit.py
@@ -1,4 +1,4 @@
-"""Limits on the size and duration of callers' requests."""
+"""Limits on the size and duration of messages that this process receives."""
 
 import attrs
 
@@ -11,3 +11,22 @@
     body_bytes: int = 1 << 20
     header_timeout_s: float = 5.0
     idle_timeout_s: float = 60.0
+
+
+@attrs.frozen
+class ResponseLimits:
+    """Limits of one response of a server."""
+
+    # Status line, headers, informational responses, trailers and framing between two body bytes.
+    head_bytes: int = 64 << 10
+    header_count: int = 200
+    body_bytes: int = 8 << 20
+
+
+@attrs.frozen
+class BufferLimits:
+    """Limits of the data that a process receives and holds until the message is complete."""
+
+    response: ResponseLimits = ResponseLimits()  # of a target
+    store: ResponseLimits = ResponseLimits(body_bytes=16 << 20)  # of the store or a peer
+    total_bytes: int = 48 << 20  # of all connections together
--- a/hyssopproxy/peerlink.py
+++ b/hyssopproxy/peerlink.py
@@ -41,6 +41,7 @@
             self._authenticator.configure_curve_callback("*", _FleetKeyVerifier(self._public))
         self._receiver = self._context.socket(zmq.ROUTER)
         self._receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._receiver.setsockopt(zmq.RCVHWM, MAX_QUEUED_MESSAGES)
         self._receiver.setsockopt(zmq.LINGER, 0)
         if secret:
             self._receiver.curve_server = True
@@ -64,6 +65,8 @@
         sender.setsockopt(zmq.LINGER, 0)
         sender.setsockopt(zmq.IMMEDIATE, 1)
         sender.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
+        sender.setsockopt(zmq.RCVHWM, 1)  # peers do not answer on this socket; it is never read
+        sender.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         sender.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
         sender.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         sender.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
--- a/hyssopproxy/platform/ingress.py
+++ b/hyssopproxy/platform/ingress.py
@@ -82,12 +82,12 @@
 
     def deliver_search(self, delivery: effect.DeliverSearch) -> None:
         """Merge the leaves' responses to a search and return the result to the caller."""
-        stamps = [reply.get_header(header.SERVER_STAMP) for reply in delivery.replies]
+        stamps = [part.stamp for part in delivery.replies]
         headers = [
             (header.SEND_PART_STAMPS, b", ".join(stamps)),
             (header.SEND_MISSING_PARTS, b"%d" % delivery.missing),
         ]
-        body = record.merge((reply.body for reply in delivery.replies), delivery.top_k)
+        body = record.merge((part.records for part in delivery.replies), delivery.top_k)
         self._reply(delivery.query_no, message.Response(200, headers, body))
 
     def refuse(self, refusal: effect.Refuse) -> None:
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -7,20 +7,55 @@
 
 import attrs
 
+from hyssopproxy import limit
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
 from hyssopproxy.platform import header
 from hyssopproxy.platform import ingress
+from hyssopproxy.platform import record
+from hyssopproxy.transport import buffer
 from hyssopproxy.transport import client
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
 
 CONNECT_TIMEOUT_S = 0.35  # TCP retransmits a lost SYN only after 1 s; retrying is faster
 RESPONSE_GRACE_S = 0.3  # network delay after the deadline; a live leaf has answered by the deadline
+MAX_COLD_LEFT_MS = 600_000  # longest cold start that a leaf may state
 FRESH_IDLE_S = 0.5  # a connection used within this time is not about to be closed as idle
 _LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 Outcome = model.Outcome
+_OUTCOME_BY_FAILURE = {
+    client.Failure.RESET: Outcome.RESET,
+    client.Failure.GARBLED: Outcome.GARBLED,
+    client.Failure.TOO_LARGE: Outcome.GARBLED,
+}
+
+
+class _LeafConnection(client.Connection):
+    """A connection to a leaf; knows which of its responses may be copies of earlier ones.
+
+    Handles leaves that send a second copy of a response, late, while the connection carries another
+    request.
+    """
+
+    def __init__(self, limits: limit.ResponseLimits, account: buffer.Account) -> None:
+        super().__init__(limits, account)
+        self._has_echoed_id = False  # earlier responses named their request
+        self._last_stamp: bytes | None = None
+
+    def is_response_to(self, request_id: bytes, response: message.Response) -> bool:
+        """Return whether a response belongs to the request in flight."""
+        echoed = response.get_header(header.REQUEST_ID)
+        stamp = response.get_header(header.SERVER_STAMP)
+        if echoed is not None:
+            self._has_echoed_id = True
+            is_expected = echoed == request_id
+        else:
+            is_copy = stamp is not None and stamp == self._last_stamp
+            is_expected = not self._has_echoed_id and not is_copy
+        self._last_stamp = stamp
+        return is_expected
 
 
 @attrs.define(eq=False)
@@ -29,7 +64,7 @@
 
     attempt: effect.Send
     request: ingress.ForwardedRequest
-    connection: client.Connection | None = None  # None until the request is written
+    connection: _LeafConnection | None = None  # None until the request is written
     timer: asyncio.TimerHandle | None = None
     is_cancelled: bool = False
 
@@ -37,9 +72,16 @@
 class LeafClient:
     """Sends attempts to leaves and keeps a pool of idle connections to each leaf."""
 
-    def __init__(self, post: typing.Callable[[typing.Any], None]) -> None:
+    def __init__(
+        self,
+        post: typing.Callable[[typing.Any], None],
+        limits: limit.ResponseLimits,
+        account: buffer.Account,
+    ) -> None:
         self._post = post
-        self._idle: dict[str, list[client.Connection]] = {}  # by target id, most recently used last
+        self._limits = limits
+        self._account = account
+        self._idle: dict[str, list[_LeafConnection]] = {}  # by target id, most recently used last
         self._exchanges: dict[int, _Exchange] = {}
         self._in_flight: collections.Counter = collections.Counter()  # by target id
         self._tasks: set[asyncio.Task] = set()
@@ -78,7 +120,7 @@
         for connection in self._idle.pop(target_id, ()):
             connection.close()
 
-    def _acquire_idle(self, target_id: str, max_idle_s: float) -> client.Connection | None:
+    def _acquire_idle(self, target_id: str, max_idle_s: float) -> _LeafConnection | None:
         now = clock.read()
         usable = []
         for connection in self._idle.pop(target_id, ()):
@@ -102,7 +144,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(client.Connection, host, int(port))
+                _, connection = await loop.create_connection(self._make_connection, host, int(port))
         except TimeoutError:
             self._end_attempt(exchange, Outcome.CONNECT)
         except OSError as error:
@@ -111,7 +153,10 @@
         else:
             self._handle_connected(exchange, connection)
 
-    def _handle_connected(self, exchange: _Exchange, connection: client.Connection) -> None:
+    def _make_connection(self) -> _LeafConnection:
+        return _LeafConnection(self._limits, self._account)
+
+    def _handle_connected(self, exchange: _Exchange, connection: _LeafConnection) -> None:
         now = clock.read()
         if exchange.is_cancelled or now > exchange.attempt.not_after:
             self._release(exchange.attempt.target_id, connection)
@@ -121,7 +166,7 @@
         else:
             self._end_attempt(exchange, Outcome.CONNECT)
 
-    def _write(self, exchange: _Exchange, connection: client.Connection) -> None:
+    def _write(self, exchange: _Exchange, connection: _LeafConnection) -> None:
         attempt = exchange.attempt
         request = exchange.request
         exchange.connection = connection
@@ -135,13 +180,12 @@
         data = request.head + message.encode_headers(attempt_headers) + b"\r\n" + request.body
 
         def is_expected(response: message.Response) -> bool:
-            echoed = response.get_header(header.REQUEST_ID)
-            return echoed is None or echoed == request.request_id
+            return connection.is_response_to(request.request_id, response)
 
         def finish(response: message.Response | None, failure: client.Failure | None) -> None:
             self._finish(exchange, response, failure)
 
-        connection.send(data, finish, is_expected)
+        connection.send(data, finish, is_expected, not request.is_head_request)
 
     def _finish(
         self,
@@ -151,18 +195,30 @@
     ) -> None:
         exchange.timer.cancel()
         if response is None:
-            is_reset = failure is client.Failure.RESET
-            self._end_attempt(exchange, Outcome.RESET if is_reset else Outcome.GARBLED)
+            self._end_attempt(exchange, _OUTCOME_BY_FAILURE[failure], detail=failure.value)
             return
         self._release(exchange.attempt.target_id, exchange.connection)
-        retry_after_s = _parse_seconds(response.get_header(header.RETRY_AFTER))
-        self._end_attempt(exchange, classify(response), response, retry_after_s)
+        outcome = classify(response)
+        reply: message.Response | record.Part = response
+        top_k = exchange.attempt.top_k
+        if top_k is not None and outcome is Outcome.ANSWERED:
+            stamp = response.get_header(header.SERVER_STAMP)
+            reply = record.make_part(stamp, response.body, top_k)
+            if not _can_be_listed(stamp):
+                outcome = Outcome.GARBLED
+        self._end_attempt(
+            exchange,
+            outcome,
+            reply,
+            retry_after_s=_parse_seconds(response.get_header(header.RETRY_AFTER)),
+            cold_left_s=_parse_cold_left_s(response.get_header(header.WARMUP_REMAINING)),
+        )
 
     def _time_out(self, exchange: _Exchange) -> None:
         exchange.connection.close()
         self._end_attempt(exchange, Outcome.TIMEOUT)
 
-    def _release(self, target_id: str, connection: client.Connection) -> None:
+    def _release(self, target_id: str, connection: _LeafConnection) -> None:
         if connection.is_usable(clock.read()):
             self._idle.setdefault(target_id, []).append(connection)
         else:
@@ -181,13 +237,12 @@
         self,
         exchange: _Exchange,
         outcome: Outcome,
-        response: message.Response | None = None,
-        retry_after_s: float = 0.0,
+        reply: message.Response | record.Part | None = None,
+        **details: typing.Any,
     ) -> None:
         attempt_no = exchange.attempt.attempt_no
-        if self._remove(attempt_no) is None:
-            return
-        self._post(event.AttemptEnded(attempt_no, outcome, response, retry_after_s))
+        if self._remove(attempt_no) is not None:
+            self._post(event.AttemptEnded(attempt_no, outcome, reply, **details))
 
 
 def classify(response: message.Response) -> Outcome:
@@ -201,6 +256,17 @@
     return Outcome.ANSWERED if 200 <= response.status < 300 else Outcome.FAILED
 
 
+def _can_be_listed(stamp: bytes) -> bool:
+    """Return whether a stamp can be an entry of a list whose entries commas separate."""
+    return bool(stamp) and not any(separator in stamp for separator in b", \t")
+
+
+def _parse_cold_left_s(milliseconds: bytes | None) -> float | None:
+    if milliseconds is None or not milliseconds.isdigit():
+        return None
+    return min(int(milliseconds[:9]), MAX_COLD_LEFT_MS) / 1000
+
+
 def _parse_seconds(value: bytes | None) -> float:
     try:
         return max(0.0, float(value)) if value else 0.0
--- a/hyssopproxy/platform/operator.py
+++ b/hyssopproxy/platform/operator.py
@@ -52,6 +52,7 @@
         return {
             **state.counters,
             **runtime.ingress.counters,
+            "buffers_dropped": runtime.account.drops,
             "log_lines_suppressed": runtime.logger.suppressed,
             "log_lines_dropped": runtime.logger.dropped,
             "members": len(state.members) + 1,
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -4,6 +4,7 @@
 import collections
 import typing
 
+from hyssopproxy import limit
 from hyssopproxy import metric
 from hyssopproxy import pump
 from hyssopproxy.engine import datagram
@@ -14,6 +15,7 @@
 from hyssopproxy.platform import ingress as ingresses
 from hyssopproxy.platform import leaf
 from hyssopproxy.platform import store
+from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import journal
 from hyssopproxy.transport import server
@@ -22,16 +24,23 @@
 class Runtime:
     """Connects the reducer of a daemon to the event loop, the sockets and the log."""
 
-    def __init__(self, state: states.State, logger: journal.Logger, peer_port: int) -> None:
+    def __init__(
+        self,
+        state: states.State,
+        logger: journal.Logger,
+        peer_port: int,
+        limits: limit.BufferLimits,
+    ) -> None:
         self.state = state
         self.logger = logger
         self.metrics = metric.Metrics()
         self.ended = asyncio.Event()
         self.cache = store.ItemCache()
         self.ingress = ingresses.Ingress(self.post, state.next_number)
-        self.front = server.Server(self.ingress)
-        self._store_client = store.StoreClient(self.post, self.cache)
-        self._leaf_client = leaf.LeafClient(self.post)
+        self.account = buffer.Account(limits.total_bytes)
+        self.front = server.Server(self.ingress, self.account)
+        self._store_client = store.StoreClient(self.post, self.cache, limits.store, self.account)
+        self._leaf_client = leaf.LeafClient(self.post, limits.response, self.account)
         self._peer_transport: asyncio.DatagramTransport | None = None
         self._peer_port = peer_port
         self._loop = asyncio.get_running_loop()
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -14,6 +14,7 @@
 from hyssopproxy.engine import event
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import state as states
+from hyssopproxy.platform import environment
 from hyssopproxy.platform import nodefile
 from hyssopproxy.platform import operator
 from hyssopproxy.platform import runtime as runtimes
@@ -22,11 +23,8 @@
 from hyssopproxy.transport import journal
 from hyssopproxy.transport import server
 
-METRICS_VARIABLE = "HYSSOPPROXY_METRICS_PORT"
-DEFAULT_METRICS_PORT = "9464"
 SETTINGS_POLL_S = 1.0  # poll interval of the settings file, which may change without a SIGHUP
 GC_THRESHOLD = 20_000  # allocations between collections; fewer collections cut tail latency
-POLICY_PREFIX = "HYSSOPPROXY_POLICY_"  # e.g. HYSSOPPROXY_POLICY_HEDGE=none for a baseline
 
 
 def main() -> None:
@@ -34,28 +32,11 @@
     path = nodefile.path(os.environ)
     try:
         node = nodefile.load(path)
-        metrics_port = _parse_metrics_port(os.environ)
-        policies = policy.from_names(_read_policy_names(os.environ))
+        settings = environment.parse(os.environ)
     except problem.UserError as error:
         print(f"hyssopproxy: the settings are refused:\n{error}", file=sys.stderr)
         raise SystemExit(2) from None
-    sys.exit(asyncio.run(serve(node, policies, path, metrics_port)))
-
-
-def _parse_metrics_port(environ: os._Environ) -> int:
-    value = environ.get(METRICS_VARIABLE, DEFAULT_METRICS_PORT)
-    if not value.isdigit() or not 0 < int(value) < 65536:
-        raise problem.UserError([f"{METRICS_VARIABLE}: {value!r}: give a port up to 65535"])
-    return int(value)
-
-
-def _read_policy_names(environ: os._Environ) -> dict[str, str]:
-    prefix_length = len(POLICY_PREFIX)
-    return {
-        name[prefix_length:].lower(): value
-        for name, value in environ.items()
-        if name.startswith(POLICY_PREFIX)
-    }
+    sys.exit(asyncio.run(serve(node, settings, path)))
 
 
 def make_state(node: nodefile.NodeFile, policies: policy.Policies) -> states.State:
@@ -69,16 +50,15 @@
     )
 
 
-async def serve(
-    node: nodefile.NodeFile, policies: policy.Policies, path: str, metrics_port: int
-) -> int:
+async def serve(node: nodefile.NodeFile, settings: environment.Environment, path: str) -> int:
     """Serve until SIGTERM; return the exit status."""
     logger = journal.Logger(node.name)
-    runtime = runtimes.Runtime(make_state(node, policies), logger, node.peer_port)
+    state = make_state(node, settings.policies)
+    runtime = runtimes.Runtime(state, logger, node.peer_port, settings.limits)
     listeners = [
         (runtime.front, node.front.host, node.front.port),
         (server.Server(operator.Readiness(runtime)), node.readiness.host, node.readiness.port),
-        (server.Server(operator.Metrics(runtime)), node.engine.ip, metrics_port),
+        (server.Server(operator.Metrics(runtime)), node.engine.ip, settings.metrics_port),
     ]
     if node.control is not None:
         control = server.Server(store.CacheHandler(runtime.cache))
--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -12,10 +12,12 @@
 
 import msgspec
 
+from hyssopproxy import limit
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
 from hyssopproxy.platform import document
+from hyssopproxy.transport import buffer
 from hyssopproxy.transport import client
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
@@ -28,7 +30,6 @@
 FRESH_S = 1.8  # items stay fresh this long after a store read; exceeds a watch and its timeout
 COMPRESS_BYTES = 2048  # minimum size for compression; links between VMs may be slow
 COMPRESS_LEVEL = 1  # fastest
-MAX_BODY_BYTES = 64 << 20  # limit of a decompressed response
 MAX_TOMBSTONES = 500  # removals kept for followers that have not received them yet
 
 _DEFLATE = b"deflate"
@@ -113,9 +114,17 @@
     The connection is closed if a request on it gets no response.
     """
 
-    def __init__(self, post: typing.Callable[[typing.Any], None], cache: ItemCache) -> None:
+    def __init__(
+        self,
+        post: typing.Callable[[typing.Any], None],
+        cache: ItemCache,
+        limits: limit.ResponseLimits,
+        account: buffer.Account,
+    ) -> None:
         self._post = post
         self._cache = cache
+        self._limits = limits
+        self._account = account
         self._idle: dict[str, client.Connection] = {}
         self._listed_keys: set[str] = set()
         self._listed_as_of: int | None = None
@@ -188,7 +197,7 @@
         if read.is_store:
             self._cache.record_store_read(clock.read())
         try:
-            return decompress(response)
+            return decompress(response, self._limits.body_bytes)
         except zlib.error as error:
             self._fail(read, f"garbled: {error}")
             return None
@@ -202,9 +211,12 @@
         host, _, port = source.rpartition(":")
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(client.Connection, host, int(port))
+            _, connection = await loop.create_connection(self._make_connection, host, int(port))
         return connection
 
+    def _make_connection(self) -> client.Connection:
+        return client.Connection(self._limits, self._account)
+
     def _fail(
         self,
         read: effect.ReadPage | effect.ReadChanges,
@@ -221,14 +233,14 @@
 
     def finish(response: message.Response | None, failure: client.Failure | None) -> None:
         if not future.done():
-            future.set_result(response)
+            future.set_result(response or failure)
 
     head = f"GET {path} HTTP/1.1\r\nHost: {source}\r\n\r\n"
     connection.send(head.encode(), finish)
-    response = await future
-    if response is None:
-        raise ConnectionError("the connection closed without a response")
-    return response
+    result = await future
+    if isinstance(result, client.Failure):
+        raise ConnectionError(f"no response: {result.value}")
+    return result
 
 
 def _decode(items: typing.Iterable[document.Item]) -> tuple[model.Change, ...]:
@@ -310,8 +322,17 @@
     return zlib.compress(body, COMPRESS_LEVEL)
 
 
-def decompress(response: message.Response) -> bytes:
-    """Return the body with its content encoding undone; raise zlib.error if it is corrupt."""
+def decompress(
+    response: message.Response, max_bytes: int = limit.BufferLimits().store.body_bytes
+) -> bytes:
+    """Return the body with its content encoding undone.
+
+    Raise zlib.error if it is corrupt, incomplete or larger than `max_bytes`.
+    """
     if response.get_header(b"content-encoding") != _DEFLATE:
         return response.body
-    return zlib.decompressobj().decompress(response.body, MAX_BODY_BYTES)
+    decompressor = zlib.decompressobj()
+    body = decompressor.decompress(response.body, max_bytes)
+    if not decompressor.eof:
+        raise zlib.error(f"incomplete or larger than {max_bytes} bytes")
+    return body
--- a/hyssopproxy/platformclient.py
+++ b/hyssopproxy/platformclient.py
@@ -10,6 +10,7 @@
 from hyssopproxy import effect as effects
 from hyssopproxy import event as events
 from hyssopproxy import model
+from hyssopproxy import payload
 
 READ_TIMEOUT_S = 3.0  # in addition to the wait time of a long poll
 
@@ -39,7 +40,7 @@
     def __init__(self, address: str, post: typing.Callable[[typing.Any], None]) -> None:
         self.post = post
         self._base = f"http://{address}/v1"
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(**payload.SESSION_ARGUMENTS)
 
     async def read_config(self, effect: effects.ReadConfig) -> None:
         requested_at = time.monotonic()
@@ -68,10 +69,16 @@
             async with self._session.get(
                 f"{self._base}/vms", timeout=aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
             ) as response:
-                vm_list = msgspec.json.decode(await response.read(), type=dict)
+                vm_list = msgspec.json.decode(await payload.read(response), type=dict)
             leaving = vm_list.get("leaving", [])
             self.post(events.VMListArrived(frozenset(str(vm) for vm in leaving)))
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.MsgspecError):
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.MsgspecError,
+            payload.InvalidBodyError,
+        ):
             return
 
     async def close(self) -> None:
--- a/hyssopproxy/server.py
+++ b/hyssopproxy/server.py
@@ -11,6 +11,7 @@
 import starlette.responses
 import starlette.routing
 import uvicorn
+import uvicorn.protocols.http.httptools_impl
 
 from hyssopproxy import body as bodies
 from hyssopproxy import dump
@@ -21,6 +22,8 @@
 from hyssopproxy import wire
 
 DEFAULT_MAX_BODY_BYTES = 1 << 16  # limit for requests to an unknown service
+MAX_OVERHEAD_BYTES = 32 << 10  # head, framing and trailers of a request
+MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
 MAX_REQUEST_ID_CHARS = 200
 STOP_TIMEOUT_S = 30
 Kind = problem.Kind
@@ -152,6 +155,44 @@
     return request_id if 0 < len(request_id) <= MAX_REQUEST_ID_CHARS else uuid.uuid4().hex
 
 
+class BoundedProtocol(uvicorn.protocols.http.httptools_impl.HttpToolsProtocol):
+    """Connection of a caller; closes it if a head, framing or trailers grow without end.
+
+    The body is bounded where it is read.
+    """
+
+    def __init__(self, *args: typing.Any, **fields: typing.Any) -> None:
+        super().__init__(*args, **fields)
+        self._is_receiving = False
+        self._overhead_bytes = 0
+        self._body_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        if self.transport.is_closing():
+            return
+        body_bytes = self._body_bytes
+        super().data_received(data)
+        if not self._is_receiving or self.transport.is_closing():
+            return
+        self._overhead_bytes += max(0, len(data) - (self._body_bytes - body_bytes))
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_FRACTION * self._body_bytes:
+            self.send_400_response("Head or framing too large.")
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._is_receiving = True
+        self._overhead_bytes = 0
+        self._body_bytes = 0
+
+    def on_body(self, body: bytes) -> None:
+        super().on_body(body)
+        self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self._is_receiving = False
+
+
 class Server(uvicorn.Server):
     """HTTP server that leaves the handling of signals to the daemon."""
 
@@ -167,7 +208,7 @@
         host=host,
         port=port,
         loop="asyncio",
-        http="httptools",
+        http=BoundedProtocol,
         ws="none",
         lifespan="off",
         log_level="critical",
--- a/hyssopproxy/targetclient.py
+++ b/hyssopproxy/targetclient.py
@@ -10,6 +10,7 @@
 
 from hyssopproxy import effect as effects
 from hyssopproxy import event as events
+from hyssopproxy import payload
 from hyssopproxy import wire
 
 Post = typing.Callable[[typing.Any], None]
@@ -72,6 +73,7 @@
             connector=aiohttp.TCPConnector(limit=0),
             trace_configs=[_expiry_trace_config()],
             cookie_jar=aiohttp.DummyCookieJar(),
+            **payload.SESSION_ARGUMENTS,
         )
         # Actions use new connections: if the target closed a reused one, it would be unknown
         # whether the action ran.
@@ -79,6 +81,7 @@
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             trace_configs=[_expiry_trace_config()],
             cookie_jar=aiohttp.DummyCookieJar(),
+            **payload.SESSION_ARGUMENTS,
         )
         self._cancels: dict[str, list[tuple[str, str]]] = {}
 
@@ -100,13 +103,11 @@
             if response.status != 200:
                 return events.Failure.GARBLED
             state = parse_target_state(response.headers.get(TARGET_STATE_HEADER))
-            partial_line = b""
-            async for chunk in response.content.iter_any():
-                *lines, partial_line = (partial_line + chunk).split(b"\n")
-                parsed = tuple(_parse_line(line) for line in lines if line)
-                if parsed:
+            async for lines in payload.read_lines(response):
+                if lines:
+                    parsed = tuple(_parse_line(line) for line in lines)
                     self.post(events.LinesArrived(effect.request_no, parsed, state))
-            return events.Failure.GARBLED if partial_line else None
+            return None
 
     async def act(self, effect: effects.SendAction) -> None:
         ended: list[events.ActionEnded] = []
@@ -123,7 +124,7 @@
             timeout=aiohttp.ClientTimeout(total=effect.timeout_s),
             trace_request_ctx=effect.not_after,
         ) as response:
-            body = await response.read()
+            body = await payload.read(response)
             if response.headers.get("Idempotency-Key") != effect.key:
                 raise aiohttp.ClientPayloadError("the reply has a different Idempotency-Key")
             ended.append(
@@ -156,7 +157,7 @@
             headers={"Content-Type": "application/json"},
             timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S),
         ) as response:
-            await response.read()
+            await payload.read(response)
 
     async def probe(self, effect: effects.ProbeStatus) -> None:
         states: list[events.TargetState] = []
@@ -167,7 +168,7 @@
         async with self._session.get(
             f"http://{address}/v1/status", timeout=aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
         ) as response:
-            await response.read()
+            await payload.read(response)
             states.append(parse_target_state(response.headers.get(TARGET_STATE_HEADER)))
 
     async def _catch_failure(self, request: typing.Awaitable) -> events.Failure | None:
@@ -183,6 +184,8 @@
             return events.Failure.LOCAL if is_local else events.Failure.CONNECT
         except TimeoutError:
             return events.Failure.TIMEOUT
+        except payload.InvalidBodyError:
+            return events.Failure.GARBLED
         except (aiohttp.ClientError, OSError):
             return events.Failure.RESET
 
--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -2,6 +2,9 @@
 
 The callback of a request receives the complete response, or the reason why there is none. Bytes
 that belong to no request make the connection unusable for further requests.
+
+Handles servers in trouble: responses that are cut, doubled or garbled, and bytes that arrive
+without end, in a head, a body or its framing.
 """
 
 import asyncio
@@ -10,10 +13,13 @@
 
 import httptools
 
+from hyssopproxy import limit
+from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
 
 DEFAULT_IDLE_S = 8.0  # idle timeout assumed when the server's Keep-Alive header states none
+MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
 IDLE_MARGIN_S = 0.6  # reuse ends this long before the server's idle timeout (network delay)
 
 
@@ -22,24 +28,39 @@
 
     RESET = "reset"
     GARBLED = "garbled"
+    TOO_LARGE = "too_large"  # the response exceeds a limit
 
 
 #: Called with either the response or the failure.
 Callback = typing.Callable[[message.Response | None, Failure | None], None]
 
 
-class Connection(asyncio.Protocol):
-    """A client connection to a server."""
+class Connection(asyncio.Protocol, buffer.Holder):
+    """A client connection to a server.
+
+    `account` limits what all connections that share it buffer together.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        limits: limit.ResponseLimits | None = None,
+        account: buffer.Account | None = None,
+    ) -> None:
+        self._limits = limits or limit.ResponseLimits()
+        self._account = account or buffer.Account(self._limits.body_bytes)
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._callback: Callback | None = None
         self._accepts: typing.Callable[[message.Response], bool] | None = None
+        self._has_response_body = True
         self._headers: message.Headers = []
-        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._overhead_bytes = 0  # heads and framing of the response, apart from its body
+        self._body = bytearray()
+        self._received_body_bytes = 0  # of all responses on this connection
         self._has_headers = False
         self._is_in_message = False
+        self._is_too_large = False
         self._must_close = False  # not reusable, e.g. after bytes that belong to no request
         self._expires_at = 0.0
         self._last_used_at = 0.0
@@ -67,22 +88,33 @@
         data: bytes,
         callback: Callback,
         accepts: typing.Callable[[message.Response], bool] | None = None,
+        has_response_body: bool = True,
     ) -> None:
         """Write a request.
 
         `accepts` returns whether a response belongs to this request; a response to an earlier
-        request is dropped.
+        request is dropped. The response to a HEAD request has no body, whatever length it states.
         """
         self._callback = callback
         self._accepts = accepts
+        self._has_response_body = has_response_body
+        self._overhead_bytes = 0
         self._transport.write(data)
 
     def close(self) -> None:
         """Abort the connection without calling the callback."""
         self._callback = None
+        self._account.release(self)
         if self._transport is not None:
             self._transport.abort()
 
+    def drop_buffer(self) -> None:
+        """End the exchange because all connections together buffer too much."""
+        self._must_close = True
+        self._body.clear()
+        self._finish(None, Failure.TOO_LARGE)
+        self.close()
+
     # asyncio.Protocol
 
     def data_received(self, data: bytes) -> None:
@@ -90,14 +122,31 @@
             self._must_close = True
             self.close()
             return
+        body_bytes = self._received_body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._must_close = True
-            self._finish(None, Failure.GARBLED)
+            self._finish(None, Failure.TOO_LARGE if self._is_too_large else Failure.GARBLED)
+        if self._callback is not None:
+            self._overhead_bytes += len(data) - (self._received_body_bytes - body_bytes)
+            self._check_growth()
         if self._must_close and self._callback is None:
             self.close()
 
+    def _check_growth(self) -> None:
+        """End the exchange if the incomplete response exceeds a limit.
+
+        Heads, trailers and the framing of chunks may take as much as a head, and in addition a
+        fraction of the body: parsing tiny chunks costs far more time than their bytes suggest.
+        """
+        body_bytes = len(self._body)
+        if self._overhead_bytes > self._limits.head_bytes + MAX_OVERHEAD_FRACTION * body_bytes:
+            self._must_close = True
+            self._finish(None, Failure.TOO_LARGE)
+        else:
+            self._account.update(self, body_bytes)
+
     def eof_received(self) -> bool:
         if self._callback is not None and self._is_close_delimited():
             self._complete()
@@ -121,18 +170,39 @@
         if self._callback is None:
             self._must_close = True
         self._headers = []
-        self._body = []
+        self._header_bytes = 0
+        self._body = bytearray()
         self._has_headers = False
         self._is_in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
+        self._header_bytes += len(name) + len(value)
+        if (
+            len(self._headers) >= self._limits.header_count
+            or self._header_bytes > self._limits.head_bytes
+        ):
+            self._reject_size()
+        if not self._has_headers:  # otherwise it is a trailer
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._has_headers = True
+        if not self._has_response_body and self._parser.get_status_code() >= 200:
+            self._must_close = True  # the parser waits for a body that does not follow
+            self._complete()
 
     def on_body(self, body: bytes) -> None:
-        self._body.append(body)
+        if self._callback is None:
+            return
+        if len(self._body) + len(body) > self._limits.body_bytes:
+            self._reject_size()
+        self._body += body
+        self._received_body_bytes += len(body)
+
+    def _reject_size(self) -> typing.NoReturn:
+        """Make the parser stop, because the response exceeds a limit."""
+        self._is_too_large = True
+        raise ValueError("the response exceeds a limit")
 
     def on_message_complete(self) -> None:
         self._complete()
@@ -145,7 +215,7 @@
         if self._callback is None:
             self._must_close = True
             return
-        response = message.Response(status, self._headers, b"".join(self._body))
+        response = message.Response(status, self._headers, bytes(self._body))
         if not self._parser.should_keep_alive() or self._transport.get_write_buffer_size():
             self._must_close = True
         if self._accepts is not None and not self._accepts(response):
@@ -167,6 +237,7 @@
         self._expires_at = self._last_used_at + max(0.2, idle_s - IDLE_MARGIN_S)
 
     def _finish(self, response: message.Response | None, failure: Failure | None) -> None:
+        self._account.release(self)
         callback, self._callback = self._callback, None
         if callback is not None:
             callback(response, failure)
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -8,6 +8,7 @@
 import httptools
 
 from hyssopproxy import limit
+from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
 
@@ -15,6 +16,7 @@
 IDLE_GRACE_S = 0.5  # added to the idle timeout for requests that are in transit
 MAX_PIPELINED = 8  # requests buffered behind the one in progress before reading pauses
 MAX_PENDING_BODY_BYTES = 1 << 20  # body bytes buffered per connection before reading pauses
+MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
 LINGER_S = 1.0  # time for the caller to read the last response before the connection is aborted
 
 
@@ -37,12 +39,15 @@
         return
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol, buffer.Holder):
     """Server side of one caller's connection."""
 
-    def __init__(self, handler: Handler, connections: set["Connection"]) -> None:
+    def __init__(
+        self, handler: Handler, connections: set["Connection"], account: buffer.Account
+    ) -> None:
         self._handler = handler
         self._connections = connections
+        self._account = account
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._pending: collections.deque[message.Request] = collections.deque()
@@ -52,6 +57,8 @@
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._message_no = 0  # of the request that is being received
+        self._overhead_bytes = 0  # framing and trailers of the body
         self._is_reading = False  # a request is partly received
         self._has_headers = False
         self._keep_alive = True
@@ -64,11 +71,13 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(buffer.MIN_TRACKED_BYTES)
         self._connections.add(self)
         self._last_progress_at = clock.read()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._connections.discard(self)
+        self._account.release(self)
         self._transport = None
         self._pending.clear()
         if self._current is not None:
@@ -85,6 +94,8 @@
             self._head_bytes = 0
             if self._current is None:
                 self._last_progress_at = clock.read()
+        body_bytes = self._body_bytes
+        message_no = self._message_no if self._has_headers else None
         if not self._has_headers:
             self._head_bytes += len(data)
         else:
@@ -97,24 +108,53 @@
             self._reject(400, str(error)[:80])
         if not self._has_headers and self._head_bytes > self._handler.limits.header_bytes:
             self._reject(431, "header fields too large")
+        if message_no == self._message_no:
+            self._overhead_bytes += len(data) - (self._body_bytes - body_bytes)
+        if self._is_reading and self._has_headers:
+            self._check_growth()
         self._handle_next()
         self._pause_if_ahead()
 
+    def _check_growth(self) -> None:
+        """Reject the incomplete request if its framing or trailers grow without end."""
+        max_overhead = self._handler.limits.header_bytes + MAX_OVERHEAD_FRACTION * self._body_bytes
+        if self._overhead_bytes > max_overhead:
+            self._reject(400, "framing or trailers too large")
+        else:
+            self._account.update(self, self._body_bytes)
+
+    def resume_writing(self) -> None:
+        self._account.release(self)
+
+    def drop_buffer(self) -> None:
+        """Reject the incomplete request, or abort a caller that does not read its response."""
+        if self._transport is None:
+            return
+        if self._transport.get_write_buffer_size() > buffer.MIN_TRACKED_BYTES:
+            self._transport.abort()
+        else:
+            self._body_parts = []
+            self._reject(503, "too much data is buffered")
+            self._handle_next()
+
     # httptools
 
     def on_message_begin(self) -> None:
+        self._message_no += 1
         self._is_reading = True
         self._has_headers = False
         self._headers = []
         self._target = b""
         self._body_parts = []
         self._body_bytes = 0
+        self._overhead_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
+        if not self._has_headers:  # otherwise it is a trailer
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._has_headers = True
@@ -140,6 +180,7 @@
         self._is_reading = False
         self._has_headers = False
         self._head_bytes = 0
+        self._account.release(self)
         if self._error is not None:
             return
         if not self._parser.should_keep_alive():
@@ -190,6 +231,7 @@
         self._current = None
         self._last_progress_at = clock.read()
         self._transport.write(message.encode_response(response, keep_alive, has_body))
+        self._account.update(self, self._transport.get_write_buffer_size())
         if not keep_alive and not self._pending and self._error is None:
             self._half_close()
             return
@@ -214,6 +256,9 @@
                 self._transport.abort()
         elif self._current is not None:
             return
+        elif self._transport.get_write_buffer_size():
+            if age > limits.idle_timeout_s + IDLE_GRACE_S:
+                self._transport.abort()  # closing would wait for a caller that does not read
         elif self._is_reading or self._head_bytes:
             if age > limits.header_timeout_s:
                 self._reject(408, "request not complete in time")
@@ -234,9 +279,10 @@
 class Server:
     """A listening socket and its connections."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, account: buffer.Account | None = None) -> None:
         self.connections: set[Connection] = set()
         self._handler = handler
+        self._account = account or buffer.Account(limit.BufferLimits().total_bytes)
         self._server: asyncio.Server | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
 
@@ -244,7 +290,7 @@
         """Start listening; raise OSError if the address cannot be bound."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Connection(self._handler, self.connections),
+            lambda: Connection(self._handler, self.connections, self._account),
             host,
             port,
             backlog=512,
--- /dev/null
+++ b/tests/platform/test_faulty_leaf.py
@@ -0,0 +1,107 @@
+"""The daemon as a process, with leaves whose responses are cut, copied or without end."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from bench import memory
+from bench import site as sites
+from hyssopproxy.emulator import endless
+from hyssopproxy.engine import membership
+
+MAX_GROWTH_BYTES = 40 << 20
+
+
+def leaves_of(site, pool):
+    return [leaf for name, leaf in site.leaves.items() if name.startswith(f"i-{pool}-")]
+
+
+@pytest.mark.parametrize("name", sorted(endless.RESPONSES))
+def test_endless_responses_cost_bounded_memory_and_no_other_request(name):
+    async def scenario(site):
+        daemon = site.daemons[0]
+        await asyncio.sleep(membership.SETTLE_S + 0.2)  # until then the retry budget has no slack
+        await site.get(daemon)
+        before = memory.resident_bytes(daemon.process.pid)
+        leaves_of(site, "p")[0].fault = leaves_of(site, "s0")[0].fault = name
+        peak = before
+        for _ in range(8):
+            replies = await asyncio.gather(
+                site.get(daemon, "/p/x", 2500), site.get(daemon, "/s/x", 2500)
+            )
+            assert [reply.status for reply in replies] == [200, 200]
+            assert replies[0].body.startswith(leaves_of(site, "p")[1].name.encode())
+            peak = max(peak, memory.resident_bytes(daemon.process.pid))
+        assert peak - before < MAX_GROWTH_BYTES
+        metrics = await site.metrics(daemon)
+        assert metrics["hyssopproxy_attempts_garbled_total"] >= 1
+        lines = [line for line in daemon.log if line["event"] == "answer_garbled"]
+        assert {line["reason"] for line in lines} <= {"too_large", "garbled"} and lines
+
+    sites.run_scenario(scenario, timeoutMs=2500)
+
+
+def test_response_of_one_byte_a_second_ends_at_the_route_timeout():
+    async def scenario(site):
+        for leaf in leaves_of(site, "p"):
+            leaf.fault = endless.TRICKLE
+        reply = await site.get(site.daemons[0], "/p/x", 20000)
+        assert reply.status == 504
+        for leaf in leaves_of(site, "s0"):
+            leaf.fault = endless.TRICKLE
+        reply = await site.get(site.daemons[0], "/s/x", 20000)
+        assert reply.status == 200 and reply.get_header(b"missing-parts") == b"1"
+
+    sites.run_scenario(scenario, timeoutMs=900)
+
+
+def test_cut_response_is_never_delivered_as_complete():
+    """A leaf stops in the middle of the head or the body of its response and closes."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        plain, shard = leaves_of(site, "p")[0], leaves_of(site, "s0")[0]
+        plain.fault = shard.fault = "cut"
+        for cut_bytes in itertools.chain(range(0, 95, 9), range(-40, 0, 3)):
+            plain.cut_bytes = shard.cut_bytes = cut_bytes
+
+            async def has_run():
+                """Send requests until each leaf has answered one; a faulty leaf is backed off."""
+                reply = await site.get(daemon, "/p/x")
+                assert reply.status in (502, 503) and not reply.get_header(b"server-stamp")
+                reply = await site.get(daemon, "/s/x")
+                stamps = reply.get_header(b"part-stamps") or b""
+                assert shard.name.encode() not in stamps
+                assert reply.status != 200 or reply.get_header(b"missing-parts") == b"1"
+                return plain.runs and shard.runs
+
+            plain.runs.clear()
+            shard.runs.clear()
+            await sites.wait_for(has_run, f"a response cut at {cut_bytes}")
+
+    sites.run_scenario(scenario, leaves_per_pool=1, maxAttempts=1)
+
+
+@pytest.mark.parametrize("echoes_id", [True, False])
+def test_second_copy_of_a_response_reaches_no_other_caller(echoes_id):
+    """A leaf sends its last response again when the next request is in flight."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        leaves = [*leaves_of(site, "p"), *leaves_of(site, "s0")]
+        for leaf in leaves:
+            leaf.fault, leaf.echoes_id = "copy", echoes_id
+        for number in range(12):
+            target = f"/p/{number}"
+            reply = await site.get(daemon, target)
+            assert reply.status == 200 and reply.body.endswith(f" {target}".encode())
+            request_id = site.last_request_id
+            assert reply.get_header(b"server-stamp").endswith(b"." + request_id)
+            reply = await site.get(daemon)
+            assert reply.status == 200
+            for stamp in reply.get_header(b"part-stamps").split(b", "):
+                assert stamp.endswith(b"." + site.last_request_id)
+        assert sum(leaf.copies_sent for leaf in leaves) >= 4
+
+    sites.run_scenario(scenario, leaves_per_pool=1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,11 +1,19 @@
 import asyncio
 import base64
+import zlib
 
 import msgspec
+import pytest
 
+from bench import memory
 from bench import site as sites
+from hyssopproxy import limit
+from hyssopproxy.emulator import endless
+from hyssopproxy.engine import effect
+from hyssopproxy.engine import event
 from hyssopproxy.platform import document
 from hyssopproxy.platform import store
+from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
 
@@ -174,3 +182,44 @@
     (response,) = watch(handler, 4).responses
     assert response.get_header(b"content-encoding") is None
     assert document.decode_events(store.decompress(response)).as_of == 5
+
+
+@pytest.mark.parametrize("name", sorted(endless.RESPONSES))
+def test_endless_response_of_a_source_fails_the_read_and_leaves_memory_bounded(name):
+    async def handle(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await endless.send(writer, name, b"")
+        except ConnectionError:
+            pass  # the client has closed the connection
+        finally:
+            writer.close()
+
+    async def run():
+        posted = []
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        source = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        limits = limit.BufferLimits()
+        account = buffer.Account(limits.total_bytes)
+        cache = store.ItemCache()
+        client = store.StoreClient(posted.append, cache, limits.store, account)
+        await client.read_page(effect.ReadPage(1, source, True, None, sites.WAIT_S))
+        server.close()
+        return posted, account
+
+    before = memory.resident_bytes()
+    (failed,), account = asyncio.run(run())
+    assert isinstance(failed, event.ReadFailed) and not failed.is_compacted
+    assert "too_large" in failed.reason or "garbled" in failed.reason
+    assert account.total_bytes == 0
+    assert memory.resident_bytes() - before < 40 << 20
+
+
+def test_compressed_response_that_expands_beyond_the_limit_is_refused():
+    body = zlib.compress(b"x" * (1 << 20))
+    response = message.Response(200, [(b"Content-Encoding", b"deflate")], body)
+    assert len(store.decompress(response, 1 << 20)) == 1 << 20
+    with pytest.raises(zlib.error):
+        store.decompress(response, (1 << 20) - 1)
+    with pytest.raises(zlib.error):
+        store.decompress(message.Response(200, response.headers, body[:-6]))
--- a/tests/processes/test_server.py
+++ b/tests/processes/test_server.py
@@ -1,6 +1,7 @@
 """HTTP interfaces for callers and operators, and the command-line tool."""
 
 import json
+import socket
 import subprocess
 import sys
 
@@ -94,3 +95,32 @@
     )
     assert result.returncode == 2
     assert "--vm" in result.stderr and "--listen" in result.stderr and "--platform" in result.stderr
+
+
+CHUNKED = b"POST /v1/services/x/search HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("opening", "block"),
+    [
+        (b"GET /", b"x" * 65536),
+        (b"GET / HTTP/1.1\r\nX: ", b"x" * 65536),
+        (b"GET / HTTP/1.1\r\n", b"X: 1\r\n" * 1000),
+        (CHUNKED, b"1\r\nx\r\n" * 10000),
+        (CHUNKED + b"1\r\nx\r\n0\r\n", b"X: 1\r\n" * 1000),
+        (CHUNKED + b"1;x=", b"x" * 65536),
+    ],
+)
+def test_caller_that_sends_without_end_is_closed(fleet, opening, block):
+    vm = fleet.layout.vms[0]
+    host, _, port = vm.listen.rpartition(":")
+    before_mb = fleet.daemons[vm.name].memory_mb()
+    with socket.create_connection((host, int(port)), timeout=30) as connection:
+        connection.sendall(opening)
+        sent_bytes = 0
+        with pytest.raises(ConnectionError):
+            while sent_bytes < 400 << 20:
+                connection.sendall(block)
+                sent_bytes += len(block)
+    assert fleet.daemons[vm.name].memory_mb() - before_mb < 40
+    assert fleet.search(vm)[0] == 200
--- /dev/null
+++ b/tests/transport/test_server.py
@@ -0,0 +1,147 @@
+"""Server connections of callers that send without end, or do not read their responses."""
+
+import asyncio
+
+import pytest
+
+from bench import memory
+from hyssopproxy import limit
+from hyssopproxy.transport import buffer
+from hyssopproxy.transport import message
+from hyssopproxy.transport import server as servers
+
+MAX_GROWTH_BYTES = 40 << 20
+MAX_SENT_BYTES = 400 << 20
+WAIT_S = 30.0
+BLOCK = b"x" * 65536
+POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+#: By name: what is sent once, what is then repeated, and the status of the response.
+ENDLESS = {
+    "target": (b"GET /", BLOCK, 431),
+    "header": (b"GET / HTTP/1.1\r\nX: ", BLOCK, 431),
+    "headers": (b"GET / HTTP/1.1\r\n", b"X: 1\r\n" * 1000, 431),
+    "body": (POST + b"Content-Length: 1000000\r\n\r\n", BLOCK, 413),
+    "chunks": (CHUNKED, b"10000\r\n" + BLOCK + b"\r\n", 413),
+    "small_chunks": (CHUNKED, b"1\r\nx\r\n" * 10000, 400),
+    "extension": (CHUNKED + b"1;x=", BLOCK, 400),
+    "trailer": (CHUNKED + b"1\r\nx\r\n0\r\nX: ", BLOCK, 400),
+    "trailers": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X: 1\r\n" * 1000, 400),
+}
+
+
+class Echo(servers.Handler):
+    """Answers each request with its body, or with a long one."""
+
+    limits = limit.Limits(header_bytes=8192, body_bytes=262144, idle_timeout_s=0.5)
+
+    def __init__(self):
+        self.requests = []
+        self.response_bytes = 0
+
+    def handle(self, request, connection):
+        self.requests.append(request)
+        body = b"r" * self.response_bytes or request.body
+        connection.reply(message.Response(200, [], body))
+
+
+def run_with_server(scenario, account=None):
+    async def run():
+        handler = Echo()
+        server = servers.Server(handler, account)
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        try:
+            async with asyncio.timeout(WAIT_S):
+                await scenario(handler, server, port)
+        finally:
+            server.stop_accepting()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("name", sorted(ENDLESS))
+def test_request_without_end_is_rejected_and_leaves_memory_bounded(name):
+    async def scenario(handler, server, port):
+        opening, block, status = ENDLESS[name]
+        before = memory.resident_bytes()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(opening)
+        sent_bytes = 0
+        response = asyncio.ensure_future(reader.readline())
+        try:
+            while not response.done() and sent_bytes < MAX_SENT_BYTES:
+                writer.write(block)
+                sent_bytes += len(block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            pass  # rejected and closed while it was still being sent
+        assert b" %d " % status in await response
+        assert memory.resident_bytes() - before < MAX_GROWTH_BYTES
+        assert handler.requests == []
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_trailers_are_not_headers():
+    async def scenario(handler, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(CHUNKED + b"1\r\nx\r\n0\r\nRequest-Id: forged\r\n\r\n")
+        assert b" 200 " in await reader.readline()
+        assert handler.requests[0].get_header(b"request-id") is None
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_pipelined_requests_with_bodies_are_not_taken_for_framing():
+    async def scenario(handler, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        request = POST + b"Content-Length: 100000\r\n\r\n" + b"b" * 100000
+        small = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 4000 + b"\r\n\r\n"
+        data = request + small * 20 + request + request
+        for start in range(0, len(data), 50_000):
+            writer.write(data[start : start + 50_000])
+            await writer.drain()
+        received = b""
+        while received.count(b"HTTP/1.1 200") < 23:
+            received += await reader.read(1 << 20)
+        assert len(handler.requests) == 23
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_caller_that_does_not_read_its_response_is_aborted():
+    async def scenario(handler, server, port):
+        handler.response_bytes = 8 << 20
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        while server.connections:
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_largest_incomplete_request_is_rejected_when_all_together_are_too_large():
+    async def scenario(handler, server, port):
+        streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(4)]
+        for (_, writer), size in zip(streams, (90_000, 120_000, 60_000, 90_000), strict=True):
+            writer.write(POST + b"Content-Length: 200000\r\n\r\n" + b"b" * size)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        assert b" 503 " in await streams[1][0].readline()
+        for index, rest in ((0, 110_000), (2, 140_000), (3, 110_000)):
+            reader, writer = streams[index]
+            writer.write(b"b" * rest)
+            assert b" 200 " in await reader.readline()
+        for _, writer in streams:
+            writer.close()
+
+    run_with_server(scenario, buffer.Account(300_000))
