Planned stop: serve what the kernel has accepted, and wait until callers have their responses

Cause: closing a listener resets the connections in its backlog, and the process ended one turn of the loop after the last answer, with responses still in the write buffer and just accepted callers unread.

Change: the listener's backlog is accepted before it is closed; the process ends when no connection is busy, 0.2 s before SIGKILL at the latest; idle connections are closed only if no request has arrived on them; a request that comes within 0.5 s of SIGKILL is refused 503, as nothing was sent. The same for uvicorn's servers of the own interface.

Ruled out: pipelined requests (answered before the close already).

--- a/hyssopproxy/daemon.py
+++ b/hyssopproxy/daemon.py
@@ -111,11 +111,19 @@
         server.make_server(endpoints.operator_app(), settings.admin.host, settings.admin.port),
         server.make_server(endpoints.caller_app(), settings.listen.host, settings.listen.port),
     ]
+    try:
+        listeners = [http_server.bind() for http_server in servers]
+    except OSError as error:
+        print(f"hyssopproxyd: --admin or --listen: {error}: give free ports", file=sys.stderr)
+        return 2
     _watch_signals(runtime, servers)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
     runtime.start()
-    server_tasks = [asyncio.create_task(http_server.serve()) for http_server in servers]
+    server_tasks = [
+        asyncio.create_task(http_server.serve([listener]))
+        for http_server, listener in zip(servers, listeners, strict=True)
+    ]
     stop_task = asyncio.create_task(runtime.stopped.wait())
     await asyncio.wait([stop_task, *server_tasks], return_when=asyncio.FIRST_COMPLETED)
     for http_server in servers[::-1]:
--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -11,9 +11,16 @@
 from hyssopproxy.engine import state as states
 
 MIN_RETRY_AFTER_S = 0.2  # about the time until a starting daemon or shedding target has capacity
+KILL_MARGIN_S = 0.5  # time between the last answers and SIGKILL
 Refusal = model.Refusal
 
 
+def is_kill_near(state: states.State, now: float) -> bool:
+    """Return whether a stopping daemon has to answer all requests now."""
+    since = state.stopping_since
+    return since is not None and now - since >= state.settings.stop_grace_s - KILL_MARGIN_S
+
+
 def refuse_new(
     state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
 ) -> None:
--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -124,9 +124,9 @@
 
 @attrs.frozen
 class StopAccepting:
-    """Close the listeners and the idle connections of callers."""
+    """Close the listener; connections that the kernel has accepted are served."""
 
 
 @attrs.frozen
 class EndProcess:
-    """End the process; all requests have been answered."""
+    """End the process once callers have received their responses; all have been answered."""
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -20,7 +20,6 @@
 # Time after SIGTERM during which requests are accepted: until the balancer has failed over, and 1 s
 # longer, because one of its readiness checks may be in flight.
 ACCEPT_GRACE_S = reach.BALANCER_FAILOVER_S + 1.0
-KILL_MARGIN_S = 0.5  # time between the last answers and SIGKILL
 
 
 def handle_tick(state: states.State, tick: event.Tick, now: float, out: list) -> None:
@@ -85,8 +84,11 @@
     if elapsed_s >= ACCEPT_GRACE_S and not state.has_stopped_accepting:
         state.has_stopped_accepting = True
         out.append(effect.StopAccepting())
-    is_done = state.has_stopped_accepting and not state.queries
-    if is_done or elapsed_s >= state.settings.stop_grace_s - KILL_MARGIN_S:
+    if answer.is_kill_near(state, now):
         answer.finish_all(state, now, out)
+    elif not state.has_stopped_accepting or state.queries:
+        return
+    if not state.has_ended:
+        state.has_ended = True
         out.append(effect.Log("stopped", {"after_s": round(elapsed_s, 2)}, is_urgent=True))
         out.append(effect.EndProcess())
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -33,6 +33,9 @@
 ) -> None:
     """Send a request to its shards, or refuse it immediately."""
     state.counters["requests"] += 1
+    if answer.is_kill_near(state, now):
+        answer.refuse_new(state, arrived, Refusal.STOPPING, now, out)
+        return
     if state.table is None:
         answer.refuse_new(state, arrived, Refusal.NO_CONFIGURATION, now, out)
         return
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -223,6 +223,7 @@
     next_gossip_at: float = NEVER
     stopping_since: float | None = None
     has_stopped_accepting: bool = False
+    has_ended: bool = False  # `EndProcess` has been returned
     unready_reason: str = ""  # empty while ready
     last_tick_at: float = NEVER
     last_number: int = 0  # returned last by `next_number`
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -24,6 +24,7 @@
 from hyssopproxy.transport import server
 
 SETTINGS_POLL_S = 1.0  # poll interval of the settings file, which may change without a SIGHUP
+EXIT_MARGIN_S = 0.2  # time to end the process before SIGKILL
 GC_THRESHOLD = 20_000  # allocations between collections; fewer collections cut tail latency
 
 
@@ -80,10 +81,21 @@
     gc.set_threshold(GC_THRESHOLD, 20, 50)
     watcher.poll()
     await runtime.ended.wait()
-    await asyncio.sleep(0)  # one loop iteration to write the last responses
+    await _drain(runtime)
     return 0
 
 
+async def _drain(runtime: runtimes.Runtime) -> None:
+    """Wait until callers have received their responses, at most until shortly before SIGKILL."""
+    state = runtime.state
+    stopped_for_s = clock.read() - state.stopping_since
+    left_s = state.settings.stop_grace_s - EXIT_MARGIN_S - stopped_for_s
+    cut = await runtime.front.drain(max(0.0, left_s))
+    if cut:
+        fields = {"connections": cut}
+        runtime.logger.write("connections_cut", fields, clock.read(), is_urgent=True)
+
+
 def _log_error(logger: journal.Logger, loop: asyncio.AbstractEventLoop, context: dict) -> None:
     """Log an exception that no other code handled; the process continues."""
     error = context.get("exception")
--- a/hyssopproxy/server.py
+++ b/hyssopproxy/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import typing
 import uuid
@@ -26,6 +27,7 @@
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
 MAX_REQUEST_ID_CHARS = 200
 STOP_TIMEOUT_S = 30
+FIRST_REQUEST_S = 0.3  # time for the first request on a connection that was accepted while stopping
 Kind = problem.Kind
 
 
@@ -196,10 +198,53 @@
 class Server(uvicorn.Server):
     """HTTP server that leaves the handling of signals to the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._accept_tasks: list[asyncio.Task] = []
+
     @contextlib.contextmanager
     def capture_signals(self) -> typing.Iterator[None]:
         yield
 
+    def bind(self) -> socket.socket:
+        """Return a socket bound to the server's address; raise OSError if it is not free."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((self.config.host, self.config.port))
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Accept what the kernel has accepted already, then stop.
+
+        Closing a listener resets the connections that wait in its backlog.
+        """
+        if self._accept_backlog(sockets or []):
+            await asyncio.sleep(FIRST_REQUEST_S)
+        await super().shutdown(sockets)
+
+    def _accept_backlog(self, listeners: list[socket.socket]) -> int:
+        """Accept waiting connections; return their number."""
+        loop = asyncio.get_running_loop()
+        for listener in listeners:
+            for _ in range(self.config.backlog):
+                try:
+                    accepted, _ = listener.accept()
+                except OSError:  # the backlog is empty, or the caller has already closed
+                    break
+                accepted.setblocking(False)
+                connect = loop.connect_accepted_socket(self._make_protocol, accepted)
+                self._accept_tasks.append(loop.create_task(connect))
+        return len(self._accept_tasks)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(
+            config=self.config, server_state=self.server_state, app_state=self.lifespan.state
+        )
+
 
 def make_server(app: starlette.routing.Router, host: str, port: int) -> Server:
     """Return a server for an application."""
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -3,6 +3,8 @@
 import abc
 import asyncio
 import collections
+import select
+import socket
 import typing
 
 import httptools
@@ -14,6 +16,9 @@
 
 TIMEOUT_CHECK_S = 0.25  # interval between checks of the connections' timeouts
 IDLE_GRACE_S = 0.5  # added to the idle timeout for requests that are in transit
+BACKLOG = 512  # connections that the kernel accepts before the process does
+FIRST_REQUEST_S = 0.3  # time for the first request on a connection that was accepted while stopping
+DRAIN_CHECK_S = 0.01
 MAX_PIPELINED = 8  # requests buffered behind the one in progress before reading pauses
 MAX_PENDING_BODY_BYTES = 1 << 20  # body bytes buffered per connection before reading pauses
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
@@ -240,10 +245,30 @@
             self._transport.resume_reading()
         self._handle_next()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is being received or handled."""
-        if self._transport and self._current is None and not self._is_reading:
-            self._transport.close()
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or handled, or its response being sent."""
+        if self._transport is None:
+            return False
+        return (
+            self._current is not None
+            or self._is_reading
+            or self._abort_at is not None
+            or self._transport.get_write_buffer_size() > 0
+        )
+
+    def close_if_idle(self, now: float) -> None:
+        """Close the connection unless it is busy or its caller may be sending a request."""
+        is_new = self._message_no == 0 and now - self._last_progress_at < FIRST_REQUEST_S
+        if self._transport is None or self.is_busy or is_new or self._has_unread_input():
+            return
+        self._transport.close()
+
+    def _has_unread_input(self) -> bool:
+        """Return whether a request has arrived that the event loop has not read yet."""
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
 
     def check_timeouts(self, now: float) -> None:
         """Abort, reject or close the connection if its timeout has expired."""
@@ -283,21 +308,30 @@
         self.connections: set[Connection] = set()
         self._handler = handler
         self._account = account or buffer.Account(limit.BufferLimits().total_bytes)
+        self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
+        self._accept_tasks: set[asyncio.Task] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Start listening; raise OSError if the address cannot be bound."""
         loop = asyncio.get_running_loop()
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((host, port))
         self._server = await loop.create_server(
-            lambda: Connection(self._handler, self.connections, self._account),
-            host,
-            port,
-            backlog=512,
-            reuse_address=True,
+            self._make_connection, sock=self._listener, backlog=BACKLOG
         )
         self._check_timeouts()
 
+    @property
+    def port(self) -> int:
+        """Port on which the server listens; requires `start`."""
+        return self._listener.getsockname()[1]
+
+    def _make_connection(self) -> Connection:
+        return Connection(self._handler, self.connections, self._account)
+
     def _check_timeouts(self) -> None:
         now = clock.read()
         for connection in list(self.connections):
@@ -306,8 +340,35 @@
         self._timeout_timer = loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
 
     def stop_accepting(self) -> None:
-        """Close the listener and the idle connections."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self.connections):
-            connection.close_if_idle()
+        """Accept what the kernel has accepted already, then close the listener.
+
+        Closing a listener resets the connections that wait in its backlog.
+        """
+        if self._server is None or self._listener.fileno() < 0:
+            return
+        loop = asyncio.get_running_loop()
+        for _ in range(BACKLOG):
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:  # the backlog is empty, or the caller has already closed
+                break
+            accepted.setblocking(False)
+            task = loop.create_task(loop.connect_accepted_socket(self._make_connection, accepted))
+            self._accept_tasks.add(task)
+            task.add_done_callback(self._accept_tasks.discard)
+        self._server.close()
+
+    async def drain(self, timeout_s: float) -> int:
+        """Wait until no connection has a request or may be about to send its first one.
+
+        Close idle connections meanwhile. Return the number of connections that are still busy when
+        the time is over.
+        """
+        deadline = clock.read() + timeout_s
+        while True:
+            now = clock.read()
+            for connection in list(self.connections):
+                connection.close_if_idle(now)
+            if now >= deadline or not (self.connections or self._accept_tasks):
+                return sum(connection.is_busy for connection in self.connections)
+            await asyncio.sleep(DRAIN_CHECK_S)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -1,6 +1,9 @@
 """Server connections of callers that send without end, or do not read their responses."""
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
 
@@ -46,15 +49,15 @@
         connection.reply(message.Response(200, [], body))
 
 
-def run_with_server(scenario, account=None):
+def run_with_server(scenario, account=None, limits=Echo.limits):
     async def run():
         handler = Echo()
+        handler.limits = limits
         server = servers.Server(handler, account)
         await server.start("127.0.0.1", 0)
-        port = server._server.sockets[0].getsockname()[1]
         try:
             async with asyncio.timeout(WAIT_S):
-                await scenario(handler, server, port)
+                await scenario(handler, server, server.port)
         finally:
             server.stop_accepting()
 
@@ -145,3 +148,82 @@
             writer.close()
 
     run_with_server(scenario, buffer.Account(300_000))
+
+
+def send_from_thread(port, data, count, results):
+    """Connect, send and read the response, from threads that the event loop does not block."""
+
+    def run():
+        try:
+            with socket.create_connection(("127.0.0.1", port), timeout=WAIT_S) as connection:
+                connection.sendall(data)
+                received = b""
+                while chunk := connection.recv(65536):
+                    received += chunk
+                results.append(received)
+        except OSError as error:
+            results.append(error)
+
+    threads = [threading.Thread(target=run) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+@pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"])
+def test_connections_in_the_backlog_are_served_when_accepting_stops(data):
+    """A planned stop under load, while the event loop is behind: none is reset unanswered."""
+
+    async def scenario(handler, server, port):
+        results = []
+        threads = send_from_thread(port, data, 30, results)
+        time.sleep(0.5)  # the kernel accepts the connections, the event loop does not run
+        server.stop_accepting()
+        assert await server.drain(5.0) == 0
+        assert not server.connections
+        for thread in threads:
+            thread.join()
+        assert len(results) == 30
+        assert all(isinstance(result, bytes) for result in results)
+        assert all(result.startswith(b"HTTP/1.1 200") for result in results) or not data
+
+    run_with_server(scenario)
+
+
+def test_request_that_arrives_on_an_idle_connection_is_answered_before_it_is_closed():
+    async def scenario(handler, server, port):
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request)
+        assert b" 200 " in await reader.readline()
+        await asyncio.sleep(0.05)
+        writer.get_extra_info("socket").dup().send(request)  # the server's loop has not read it
+        server.stop_accepting()
+        assert await server.drain(5.0) == 0
+        assert len(handler.requests) == 2
+        assert (await reader.read()).count(b"HTTP/1.1 200") == 1
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_drain_waits_for_callers_that_read_slowly():
+    async def scenario(handler, server, port):
+        handler.response_bytes = 8 << 20
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        server.stop_accepting()
+        drained = asyncio.ensure_future(server.drain(WAIT_S))
+        await asyncio.sleep(0.3)
+        assert not drained.done()
+        received_bytes = 0
+        while chunk := await reader.read(1 << 20):
+            received_bytes += len(chunk)
+        writer.close()
+        assert await drained == 0
+        assert received_bytes > handler.response_bytes
+
+    handler_limits = limit.Limits(idle_timeout_s=WAIT_S)
+    run_with_server(scenario, limits=handler_limits)
