Restart: nothing that was withdrawn returns from a source that missed its removal

Cause, three faults found by reading and shown by tests that fail before: (1) the revision of a removal was forgotten after 30 s, so an item from a stale peer or page brought a target, an evacuation or a route back; (2) a cache was offered to followers after the first page of a listing, so they removed all that the later pages hold; (3) a daemon in its first listing advertised data by gossip.

Change: an unknown item that is not newer than the data read so far counts as removed; a cache has a revision only once a listing is complete; gossip names version and revision only then.

Ruled out: a restart with the store away, one current and one frozen peer, and a restart of all; these tests (tests/platform/test_restart.py) pass on the old code too.

Tests: tests/engine/test_catalog.py, test_membership.py, tests/platform/test_store.py, test_restart.py.

--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -16,10 +16,14 @@
 
 
 def apply(state: states.State, change: model.Change, now: float, out: list) -> None:
-    """Apply an item, unless this or a newer revision of it has been applied."""
+    """Apply an item, unless this or a newer revision of it has been applied.
+
+    An unknown item that is older than the data read so far has been removed since, and comes from a
+    source that has not learnt of the removal.
+    """
     sync = state.sync
-    known_revision = max(
-        sync.revisions.get(change.key, 0), sync.removed_revisions.get(change.key, 0)
+    known_revision = sync.revisions.get(change.key) or max(
+        sync.as_of or 0, sync.removed_revisions.get(change.key, 0)
     )
     if change.revision <= known_revision:
         return
--- a/hyssopproxy/engine/membership.py
+++ b/hyssopproxy/engine/membership.py
@@ -160,13 +160,15 @@
 
 
 def _make_gossip(state: states.State, count: int, now: float) -> datagram.Gossip:
+    # Data that are incomplete, as during the first listing, are of no use to others.
+    is_complete = state.table is not None and state.sync.as_of is not None
     own_record = datagram.MemberRecord(
         ip=state.settings.ip,
         failure_domain=state.settings.failure_domain,
         incarnation=state.incarnation,
         heartbeat=state.heartbeat,
-        version=state.table.version if state.table else 0,
-        revision=state.sync.revision,
+        version=state.table.version if is_complete else 0,
+        revision=state.sync.revision if is_complete else 0,
         is_stale=state.sync.failures > 0 or now - state.sync.last_synced_at > SYNC_MAX_AGE_S,
         link_mbps=state.settings.link_mbps,
     )
--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -41,14 +41,18 @@
     def __init__(self) -> None:
         self.items: dict[str, document.Item] = {}
         self.tombstones: dict[str, document.Item] = {}
-        self.as_of = 0
+        self.as_of = 0  # the cache is complete up to this revision; 0 before the first listing
         self.compacted_revision = 0  # removals up to this revision are unknown
         self.store_read_at = float("-inf")  # time of the last store read; -inf after a failed read
         self.listeners: list[typing.Callable[[], None]] = []
 
-    def update(self, items: typing.Iterable[document.Item], as_of: int) -> None:
-        """Store items and tombstones; ignore those not newer than the cached revision."""
-        self.as_of = max(self.as_of, as_of)
+    def update(self, items: typing.Iterable[document.Item], as_of: int | None = None) -> None:
+        """Store items and tombstones; ignore those not newer than the cached revision.
+
+        `as_of` is None for a page of a listing, which is not complete by itself.
+        """
+        if as_of is not None:
+            self.as_of = max(self.as_of, as_of)
         for item in items:
             cached = self.items.get(item.key) or self.tombstones.get(item.key)
             if cached is not None and cached.revision >= item.revision:
@@ -60,15 +64,16 @@
                 self.tombstones.pop(item.key, None)
                 self.items[item.key] = item
         self._prune_tombstones()
-        for listener in self.listeners:
-            listener()
+        self._notify()
 
     def remove_unlisted(self, keys: set[str], as_of: int) -> None:
-        """Remove items that are absent from a complete listing and not newer than it."""
+        """Complete a listing: remove items that are absent from it and not newer than it."""
         for key, item in list(self.items.items()):
             if key not in keys and item.revision <= as_of:
                 del self.items[key]
         self.compacted_revision = max(self.compacted_revision, as_of)
+        self.as_of = max(self.as_of, as_of)
+        self._notify()
 
     def record_store_read(self, now: float) -> None:
         """Record a successful read of the store."""
@@ -77,6 +82,9 @@
     def record_failure(self) -> None:
         """Record a failed read; the cached items may be stale from now on."""
         self.store_read_at = float("-inf")
+        self._notify()
+
+    def _notify(self) -> None:
         for listener in self.listeners:
             listener()
 
@@ -142,7 +150,7 @@
             self._listed_keys = set()
             self._listed_as_of = page.as_of
         self._listed_keys.update(item.key for item in page.items)
-        self._cache.update(page.items, self._listed_as_of)
+        self._cache.update(page.items)
         next_after = page.items[-1].key if page.more_pages and page.items else None
         if next_after is None:
             self._cache.remove_unlisted(self._listed_keys, self._listed_as_of)
--- a/tests/engine/test_catalog.py
+++ b/tests/engine/test_catalog.py
@@ -164,3 +164,26 @@
     world.post(page)
     assert world.state.targets["targets/p-0"].removed_at is not None
     assert world.state.targets["targets/p-1"].removed_at is None
+
+
+def test_removed_item_does_not_return_from_a_source_that_missed_its_removal():
+    """A restarted peer lists from a stale one, long after this daemon has forgotten the removal."""
+    world = worlds.make_plain_world()
+    entry = world.replicas["p-0"].entry
+    revision = world.state.sync.revisions["targets/p-0"]
+    world.remove(entry)
+    world.run(60.0)
+    assert "targets/p-0" not in world.state.targets
+    world.post_changes([model.Change("targets/p-0", revision, entry)])
+    assert "targets/p-0" not in world.state.targets
+    world.post_changes([model.Change("out/domain-b", revision, model.Evacuation("domain-b"))])
+    assert not world.state.evacuated_domains
+
+
+def test_target_that_returns_with_a_newer_entry_is_used():
+    world = worlds.make_plain_world()
+    entry = world.replicas["p-0"].entry
+    world.remove(entry)
+    world.run(60.0)
+    world.publish(attrs.evolve(entry, started_at_ms=77))
+    assert "p-0" in find_serving_targets(world, 30)
--- a/tests/engine/test_membership.py
+++ b/tests/engine/test_membership.py
@@ -1,6 +1,8 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
+from hyssopproxy.engine import event
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import model
 from tests.engine import world as worlds
 
 
@@ -76,3 +78,19 @@
 def test_malformed_datagrams_decode_to_none():
     assert datagram.decode(b"\x00\x01") is None
     assert datagram.decode(b"") is None
+
+
+def test_daemon_whose_first_listing_is_incomplete_offers_no_data():
+    """Guards against peers that take a first page for all there is, and drop the rest."""
+    world = worlds.World()
+    world.add_pool("p")
+    world.start()
+    read = next(item for item in world.effects if isinstance(item, effect.ReadPage))
+    table = model.RoutingTable(4, (worlds.plain_route(),), {})
+    world.post(event.PageRead(read.read_no, (model.Change("table", 7, table),), 7, "table"))
+    world.effects.clear()
+    world.receive_gossip("10.9.0.77", "domain-b")
+    sent = [item for item in world.effects if isinstance(item, effect.SendPeer)]
+    assert sent and {
+        (item.message.sender.version, item.message.sender.revision) for item in sent
+    } == {(0, 0)}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -32,6 +32,15 @@
     assert cache.changes_since(6).events == ()
 
 
+def test_listing_is_served_only_once_it_is_complete():
+    cache = store.ItemCache()
+    cache.update([make_item("a", 5)])
+    assert cache.as_of == 0
+    cache.update([make_item("b", 3)])
+    cache.remove_unlisted({"a", "b"}, 6)
+    assert cache.as_of == 6 and len(cache.page_after("").items) == 2
+
+
 def test_item_written_after_removal_clears_tombstone():
     cache = store.ItemCache()
     cache.update([make_item("a", 5), make_item("a", 6, None), make_item("a", 7)], 7)
