One malformed message or unexpected error costs one message, and not the process

Cause, by reading each decoder and by property tests that failed before: an exception in a decision dropped the events queued behind it and the effects already decided (engine and own interface); an unexpected error in a tick ended the periodic work for good; deeply nested store replies raised RecursionError; a watch of a peer with waitMs=x raised in the cache handler; header numbers of thousands of digits raised; seeds, ports and ids of any type passed the settings and entries; gossip could name a host name, infinite numbers and any number of members.

Change: the pump hands each unexpected error to the runtime, which counts and logs it (internal_error) and ends what it belongs to: the request is refused 502, a send counts as reset (may have run), a read of the store counts as failed and is tried again. Decoders state bounds in their types. A start waits 2 s for valid settings; later an invalid or missing file is logged once and the settings stay.

--- a/bench/site.py
+++ b/bench/site.py
@@ -93,7 +93,7 @@
         self.last_request_id = b""
         self._directory = tempfile.TemporaryDirectory()
         self._log_readers: list[asyncio.Task] = []
-        self._ports: dict[str, int] = {}
+        self.ports: dict[str, int] = {}
         self.links: dict[str, faultproxy.Link] = {}  # by leaf name or "store"
         self.published_addresses: dict[str, str] = {}  # by leaf name
         self._listeners: list[asyncio.Server] = []
@@ -154,10 +154,10 @@
     async def add_daemon(self, zone: str = "a") -> Daemon:
         """Start a daemon; all daemons use the same ports, each on its own IP address."""
         host = free_host()
-        if not self._ports:
+        if not self.ports:
             names = ("front", "ready", "control", "metrics")
-            self._ports.update(zip(names, free_ports(host, len(names)), strict=True))
-            self._ports["peer"] = free_port(host, socket.SOCK_DGRAM)
+            self.ports.update(zip(names, free_ports(host, len(names)), strict=True))
+            self.ports["peer"] = free_port(host, socket.SOCK_DGRAM)
         path = os.path.join(self._directory.name, f"{host}.toml")
         daemon = Daemon(host, zone, path)
         self.daemons.append(daemon)
@@ -167,7 +167,7 @@
         return daemon
 
     def write_settings(self, daemon: Daemon, seeds: list[str] | None = None) -> None:
-        ports = self._ports
+        ports = self.ports
         if seeds is None:
             seeds = [f"{seed.host}:{ports['control']}" for seed in self.daemons[:3]]
         text = (
@@ -180,14 +180,17 @@
             f'[platform]\naddress = "{self.store_address}"\n'
             "[bounds]\nretryRatio = 0.2\nretrySlack = 56\nretryWindowS = 10\ngraceS = 6\n"
         )
-        with open(daemon.settings_path, "w") as file:
+        # Replaced as a whole, since a daemon that is starting may read the file at any moment.
+        new_path = f"{daemon.settings_path}.new"
+        with open(new_path, "w") as file:
             file.write(text)
+        os.replace(new_path, daemon.settings_path)
 
     async def start_daemon(self, daemon: Daemon) -> None:
         environ = {
             **os.environ,
             "HYSSOPPROXY_NODE_FILE": daemon.settings_path,
-            "HYSSOPPROXY_METRICS_PORT": str(self._ports["metrics"]),
+            "HYSSOPPROXY_METRICS_PORT": str(self.ports["metrics"]),
         }
         daemon.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -212,10 +215,10 @@
         await wait_for(is_ready, f"readiness {status}")
 
     async def get_readiness(self, daemon: Daemon) -> message.Response:
-        return await exchange(daemon.host, self._ports["ready"], b"GET /v1/ready HTTP/1.1\r\n\r\n")
+        return await exchange(daemon.host, self.ports["ready"], b"GET /v1/ready HTTP/1.1\r\n\r\n")
 
     async def metrics(self, daemon: Daemon) -> dict[str, float]:
-        port = self._ports["metrics"]
+        port = self.ports["metrics"]
         reply = await exchange(daemon.host, port, b"GET /metrics HTTP/1.1\r\n\r\n")
         lines = [line.split(" ") for line in reply.body.decode().splitlines() if line[:1] != "#"]
         return {name: float(value) for name, value in lines}
@@ -225,7 +228,7 @@
     ) -> message.Response:
         """Send one request on a new connection."""
         data = self.make_request(target, deadline_ms, **options)
-        return await exchange(daemon.host, self._ports["front"], data)
+        return await exchange(daemon.host, self.ports["front"], data)
 
     def make_request(
         self,
@@ -255,7 +258,7 @@
 
     async def connect(self, daemon: Daemon):
         """Open a connection to a daemon's front address; return its reader and writer."""
-        return await asyncio.open_connection(daemon.host, self._ports["front"])
+        return await asyncio.open_connection(daemon.host, self.ports["front"])
 
     async def close(self) -> None:
         """Stop everything that this site has started, processes by their ids."""
--- a/hyssopproxy/address.py
+++ b/hyssopproxy/address.py
@@ -29,7 +29,8 @@
     "'localhost' is not an IP address"
     """
     host, colon, port = text.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not colon or not is_number or not 0 < int(port) < 65536:
         return BadAddress("give IP:PORT with a port from 1 to 65535")
     ip = host.removeprefix("[").removesuffix("]")
     try:
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -1,21 +1,27 @@
 """Datagrams between daemons and their encoding."""
 
 import enum
+import ipaddress
+import typing
 
 import msgspec
 
+Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+Number = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]  # neither infinite nor NaN
+Name = typing.Annotated[str, msgspec.Meta(max_length=200)]
+
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """State of one daemon, as sent in gossip."""
 
-    ip: str
-    failure_domain: str
-    incarnation: int  # wall-clock time of its start in microseconds
-    heartbeat: int
-    version: int  # version of its routing table
-    revision: int  # newest revision of published data that it has applied
+    ip: Name
+    failure_domain: Name
+    incarnation: Count  # wall-clock time of its start in microseconds
+    heartbeat: Count
+    version: Count  # version of its routing table
+    revision: Count  # newest revision of published data that it has applied
     is_stale: bool = False  # its copy of the published data may be out of date
-    link_mbps: float = 0.0  # bandwidth of the link of its VM
+    link_mbps: Number = 0.0  # bandwidth of the link of its VM
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -36,32 +42,32 @@
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """An observation of a target; its time is sent as an age, as clocks differ."""
 
-    target_id: str
+    target_id: Name
     symptom: Symptom
-    age_ms: int
-    ratio: float = 0.0  # latency divided by the typical latency
+    age_ms: Count
+    ratio: Number = 0.0  # latency divided by the typical latency
 
 
 class Reports(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Observations of targets, made by the sender or reported to it."""
 
-    failure_domain: str  # of the sender
-    period_ms: float  # period of the targets' pauses; 0 if unknown
-    length_ms: float  # length of a pause; 0 if the sender has not measured it
+    failure_domain: Name  # of the sender
+    period_ms: Number  # period of the targets' pauses; 0 if unknown
+    length_ms: Number  # length of a pause; 0 if the sender has not measured it
     reports: tuple[Report, ...]
 
 
 class LostDomains(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """Failure domains that a daemon cannot reach."""
 
-    failure_domain: str  # of the sender
-    domains: tuple[str, ...]
+    failure_domain: Name  # of the sender
+    domains: tuple[Name, ...]
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Request for a reply, to check whether the receiver is reachable."""
 
-    ip: str  # of the sender
+    ip: Name  # of the sender
 
 
 Message = Gossip | Reports | LostDomains | Ping
@@ -76,6 +82,22 @@
 def decode(blob: bytes) -> Message | None:
     """Return the decoded message, or None if it is malformed."""
     try:
-        return _DECODER.decode(blob)
+        message = _DECODER.decode(blob)
     except (msgspec.MsgspecError, RecursionError):
         return None
+    return message if all(map(_is_ip, _addresses(message))) else None
+
+
+def _addresses(message: Message) -> list[str]:
+    """Return the IP addresses that a message names; datagrams are sent to them."""
+    if isinstance(message, Gossip):
+        return [message.sender.ip, *(record.ip for record in message.records)]
+    return [message.ip] if isinstance(message, Ping) else []
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -52,6 +52,13 @@
     attempt_nos: tuple[int, ...]
 
 
+@attrs.frozen
+class RequestFailed:
+    """An unexpected error interrupted the processing of a request."""
+
+    query_no: int
+
+
 @attrs.frozen
 class PageRead:
     """A page of the published items was read."""
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -4,6 +4,9 @@
 failed over, and exits once all requests are answered.
 """
 
+import traceback
+import typing
+
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import effect
@@ -30,15 +33,14 @@
         state.counters["pauses"] += 1
     state.last_tick_at = now
     out.append(effect.ScheduleEvent(now + TICK_S, tick))
-    sync.handle_tick(state, now, out)
-    membership.handle_tick(state, now, out)
-    catalog.handle_tick(state, now, out)
-    query.record_overdue_attempts(state, now)
-    report.handle_tick(state, now, out)
-    reach.handle_tick(state, now, out)
-    query.retry_waiting_parts(state, now, out)
-    _log_readiness_change(state, now, out)
-    _stop_when_due(state, now, out)
+    for handle in _TICK_HANDLERS:
+        try:
+            handle(state, now, out)
+        except Exception as error:  # a fault in one handler must not stop the others
+            state.counters["internal_errors"] += 1
+            where = traceback.format_exception(error)[-3:]
+            fields = {"message": "unexpected error in a tick", "error": repr(error), "where": where}
+            out.append(effect.Log("internal_error", fields, is_urgent=True))
 
 
 def _log_readiness_change(state: states.State, now: float, out: list) -> None:
@@ -92,3 +94,16 @@
         state.has_ended = True
         out.append(effect.Log("stopped", {"after_s": round(elapsed_s, 2)}, is_urgent=True))
         out.append(effect.EndProcess())
+
+
+_TICK_HANDLERS: tuple[typing.Callable[[states.State, float, list], None], ...] = (
+    sync.handle_tick,
+    membership.handle_tick,
+    catalog.handle_tick,
+    query.record_overdue_attempts,
+    report.handle_tick,
+    reach.handle_tick,
+    query.retry_waiting_parts,
+    _log_readiness_change,
+    _stop_when_due,
+)
--- a/hyssopproxy/engine/membership.py
+++ b/hyssopproxy/engine/membership.py
@@ -19,6 +19,7 @@
 REMOTE_RECORDS = 6  # member records in a datagram to another failure domain
 STARTUP_RECORDS = 24  # the same after a start; keeps a datagram under 1,400 bytes
 MEMBER_EXPIRY_S = 60.0  # a daemon counts as a member for this long after its last heartbeat
+MAX_MEMBERS = 4096  # more than any fleet has; bounds the memory that forged messages take
 LIVE_MAX_AGE_S = 4.0  # a daemon counts as live for this long after its last heartbeat
 # A daemon whose last synchronisation is older counts as stale; others do not choose it as reader.
 SYNC_MAX_AGE_S = 2.5
@@ -98,6 +99,9 @@
 
 def _store_member(state: states.State, record: datagram.MemberRecord, now: float) -> None:
     if record.ip not in state.members:
+        if len(state.members) >= MAX_MEMBERS:
+            state.counters["members_refused"] += 1
+            return
         state.counters["members_found"] += 1
     state.members[record.ip] = states.Member(
         ip=record.ip,
--- a/hyssopproxy/engine/model.py
+++ b/hyssopproxy/engine/model.py
@@ -164,3 +164,4 @@
     TARGET_FAILED = "target_failed"
     COVERAGE_TOO_LOW = "coverage_too_low"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERNAL_ERROR = "internal_error"
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -350,7 +350,7 @@
         _finish_or_schedule(state, query, now, out)
 
 
-def record_overdue_attempts(state: states.State, now: float) -> None:
+def record_overdue_attempts(state: states.State, now: float, out: list) -> None:
     """Record overdue and silent attempts against their targets."""
     for attempt in state.attempts.values():
         if attempt.hedge_at <= now:
@@ -421,6 +421,22 @@
         out.append(effect.ScheduleEvent(now + DISCONNECT_GRACE_S, event.CancelDue(running)))
 
 
+def handle_request_failed(
+    state: states.State, failed: event.RequestFailed, now: float, out: list
+) -> None:
+    """Refuse a request whose processing was interrupted by an unexpected error.
+
+    Whether a target has executed it is unknown.
+    """
+    query = state.queries.get(failed.query_no)
+    if query is not None:
+        answer.remove_query(state, query)
+        for part in query.parts:
+            answer.abandon_attempts(part, out)
+    state.counters["refused_internal_error"] += 1
+    out.append(effect.Refuse(failed.query_no, Refusal.INTERNAL_ERROR, is_not_run=False))
+
+
 def handle_cancel_due(state: states.State, due: event.CancelDue, now: float, out: list) -> None:
     """Cancel the attempts that are still running after their caller disconnected."""
     for number in due.attempt_nos:
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -14,9 +14,14 @@
 Handler = typing.Callable[[states.State, typing.Any, float, list], None]
 
 
-def reduce(state: states.State, posted_event: typing.Any, now: float) -> list:
-    """Apply an event to the state at the time `now` (seconds) and return the resulting effects."""
-    out: list = []
+def reduce(
+    state: states.State, posted_event: typing.Any, now: float, out: list | None = None
+) -> list:
+    """Apply an event to the state at the time `now` (seconds) and return the resulting effects.
+
+    They are appended to `out`, so that those before an unexpected error are not lost.
+    """
+    out = [] if out is None else out
     _HANDLERS[type(posted_event)](state, posted_event, now, out)
     return out
 
@@ -27,6 +32,7 @@
     event.AttemptEnded: query.handle_ended,
     event.QueryDue: query.handle_due,
     event.CancelDue: query.handle_cancel_due,
+    event.RequestFailed: query.handle_request_failed,
     event.PageRead: sync.handle_page,
     event.ChangesRead: sync.handle_changes,
     event.ReadFailed: sync.handle_read_failed,
--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -2,17 +2,23 @@
 
 import base64
 import binascii
+import re
 import typing
 
 import msgspec
 
+from hyssopproxy import address
 from hyssopproxy import limit
 from hyssopproxy.engine import model
 
+#: Errors that malformed input raises; the last one comes from deep nesting.
+DECODE_ERRORS = (msgspec.MsgspecError, binascii.Error, ValueError, RecursionError)
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 MAX_SLOTS = 10_000
+MAX_COLD_LEFT_S = 600.0  # longest cold start that a leaf may state
+_TARGET_ID = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _IDEMPOTENT_TYPE = "idempotent"
 _SERVER_STATES = ("ready", "draining")
 
@@ -99,12 +105,12 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Decode a page; raise msgspec.MsgspecError if the body is malformed."""
+    """Decode a page; raise one of `DECODE_ERRORS` if the body is malformed."""
     return _PAGE_DECODER.decode(body)
 
 
 def decode_events(body: bytes) -> Events:
-    """Decode events; raise msgspec.MsgspecError if the body is malformed."""
+    """Decode events; raise one of `DECODE_ERRORS` if the body is malformed."""
     return _EVENTS_DECODER.decode(body)
 
 
@@ -118,7 +124,7 @@
     try:
         blob = base64.b64decode(item.value, validate=True)
         return model.Change(item.key, item.revision, decode(item.key, blob))
-    except (msgspec.MsgspecError, binascii.Error, ValueError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return model.Change(item.key, item.revision, None, error=str(error)[:160])
 
 
@@ -185,19 +191,22 @@
     server = _SERVER_DECODER.decode(blob)
     if server.state not in _SERVER_STATES:
         raise ValueError(f"unknown state {server.state!r}")
-    host, _, port = server.address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"invalid address {server.address!r}")
+    target_id = key[len(SERVER_PREFIX) :]
+    if not _TARGET_ID.fullmatch(target_id):
+        raise ValueError(f"invalid id {target_id!r}")
+    parsed = address.parse(server.address)
+    if isinstance(parsed, address.BadAddress):
+        raise ValueError(f"address: {parsed.reason}")
     if not 0 < server.max_concurrency <= MAX_SLOTS:
         raise ValueError(f"number of slots out of range: {server.max_concurrency}")
     return model.TargetEntry(
-        id=key[len(SERVER_PREFIX) :],
+        id=target_id,
         pool=server.backend,
         address=server.address,
         failure_domain=server.zone,
         slots=server.max_concurrency,
         is_draining=server.state == "draining",
-        cold_left_s=max(0.0, server.warmup_left_ms) / 1000,
+        cold_left_s=min(MAX_COLD_LEFT_S, max(0.0, server.warmup_left_ms) / 1000),
         started_at_ms=server.born,
     )
 
--- a/hyssopproxy/platform/ingress.py
+++ b/hyssopproxy/platform/ingress.py
@@ -14,6 +14,7 @@
 
 # Headers of the caller that the daemon replaces with its own values for each leaf.
 _REPLACED_HEADERS = frozenset((header.DEADLINE, header.EXPECTED_INSTANCE))
+MAX_MS_DIGITS = 12  # longer times are not plausible
 _STATUS_BY_REFUSAL = {model.Refusal.DEADLINE_EXCEEDED: 504}
 
 
@@ -59,7 +60,7 @@
                 request_id=request_id.decode("latin-1"),
                 host=host.partition(b":")[0].decode("latin-1").lower(),
                 path=request.target.decode("latin-1"),
-                time_left_s=_parse_ms(request.get_header(header.DEADLINE)),
+                time_left_s=parse_ms(request.get_header(header.DEADLINE)),
             )
         )
 
@@ -126,8 +127,8 @@
     )
 
 
-def _parse_ms(value: bytes | None) -> float | None:
+def parse_ms(value: bytes | None) -> float | None:
     """Convert milliseconds to seconds; return None if missing or not a whole number."""
-    if value is None or not value.isdigit():
+    if value is None or not value.isdigit() or len(value) > MAX_MS_DIGITS:
         return None
     return int(value) / 1000
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -210,8 +210,8 @@
             exchange,
             outcome,
             reply,
-            retry_after_s=_parse_seconds(response.get_header(header.RETRY_AFTER)),
-            cold_left_s=_parse_cold_left_s(response.get_header(header.WARMUP_REMAINING)),
+            retry_after_s=parse_seconds(response.get_header(header.RETRY_AFTER)),
+            cold_left_s=parse_cold_left_s(response.get_header(header.WARMUP_REMAINING)),
         )
 
     def _time_out(self, exchange: _Exchange) -> None:
@@ -261,13 +261,15 @@
     return bool(stamp) and not any(separator in stamp for separator in b", \t")
 
 
-def _parse_cold_left_s(milliseconds: bytes | None) -> float | None:
+def parse_cold_left_s(milliseconds: bytes | None) -> float | None:
+    """Return the remaining cold start that a leaf states, in seconds; None if it states none."""
     if milliseconds is None or not milliseconds.isdigit():
         return None
     return min(int(milliseconds[:9]), MAX_COLD_LEFT_MS) / 1000
 
 
-def _parse_seconds(value: bytes | None) -> float:
+def parse_seconds(value: bytes | None) -> float:
+    """Return a number of seconds; 0 if it is missing, negative or not a number."""
     try:
         return max(0.0, float(value)) if value else 0.0
     except ValueError:
--- a/hyssopproxy/platform/nodefile.py
+++ b/hyssopproxy/platform/nodefile.py
@@ -53,14 +53,14 @@
     control = listen.host_port("control", is_required=False)
     store = reader.section("platform").host_port("address")
     ports = table.get("internalPorts")
-    if not (isinstance(ports, list) and ports and all(type(port) is int for port in ports)):
+    if not (isinstance(ports, list) and ports and all(map(_is_port, ports))):
         reader.errors.append("internalPorts: missing: give the first and the last free port")
         ports = [0]
     engine = states.Settings(
         ip=ip,
         failure_domain=reader.string("zone"),
         store=f"{store.host}:{store.port}" if store else "",
-        seeds=tuple(seed for seed in table.get("seeds", ()) if isinstance(seed, str)),
+        seeds=reader.strings("seeds"),
         control_port=control.port if control else 0,
         retry_ratio=bounds.number("retryRatio", 0.2),
         retry_window_s=bounds.number("retryWindowS", 10.0),
@@ -81,6 +81,10 @@
     return result
 
 
+def _is_port(value: typing.Any) -> bool:
+    return type(value) is int and 0 < value < 65536
+
+
 class _TableReader:
     """Reads and checks single values of a table and collects all errors."""
 
@@ -105,6 +109,14 @@
             return ""
         return value
 
+    def strings(self, key: str) -> tuple[str, ...]:
+        """Return a list of strings; empty if the key is absent."""
+        value = self._table.get(key, [])
+        if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+            self.errors.append(f"{self._prefix}{key}: {value!r}: give a list of strings")
+            return ()
+        return tuple(value)
+
     def number(self, key: str, default: float) -> float:
         """Return a non-negative number."""
         value = self._table.get(key, default)
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import traceback
 import typing
 
 from hyssopproxy import limit
@@ -10,6 +11,7 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect as effects
 from hyssopproxy.engine import event as events
+from hyssopproxy.engine import model
 from hyssopproxy.engine import reducer
 from hyssopproxy.engine import state as states
 from hyssopproxy.platform import ingress as ingresses
@@ -45,7 +47,7 @@
         self._peer_port = peer_port
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
-        self._pump = pump.Pump(self._reduce, self._execute)
+        self._pump = pump.Pump(self._reduce, self._execute, self._handle_error)
 
     async def start(self) -> None:
         """Open the socket for datagrams from peers and post the first tick."""
@@ -62,8 +64,21 @@
         if self.state.table is not None:
             self.ingress.limits = self.state.table.limits
 
-    def _reduce(self, event: typing.Any) -> list:
-        return reducer.reduce(self.state, event, clock.read())
+    def _reduce(self, event: typing.Any, effects: list) -> None:
+        reducer.reduce(self.state, event, clock.read(), effects)
+
+    def _handle_error(self, error: Exception, cause: typing.Any) -> None:
+        """Log an unexpected error, and fail the request, attempt or read that met it."""
+        self.state.counters["internal_errors"] += 1
+        fields = {
+            "message": f"unexpected error at {type(cause).__name__}",
+            "error": repr(error),
+            "where": traceback.format_exception(error)[-3:],
+        }
+        self.logger.write("internal_error", fields, clock.read(), is_urgent=True)
+        failed = _make_failure(cause)
+        if failed is not None and type(failed) is not type(cause):
+            self.post(failed)
 
     def _execute(self, effect: typing.Any) -> None:
         _EXECUTORS[type(effect)](self, effect)
@@ -119,6 +134,17 @@
         self.ended.set()
 
 
+def _make_failure(cause: typing.Any) -> typing.Any:
+    """Return the event that ends what an event or effect belongs to; None if it stands alone."""
+    if isinstance(cause, effects.Send):
+        return events.AttemptEnded(cause.attempt_no, model.Outcome.RESET, detail="internal_error")
+    if hasattr(cause, "read_no"):
+        return events.ReadFailed(cause.read_no, "internal_error")
+    if hasattr(cause, "query_no"):
+        return events.RequestFailed(cause.query_no)
+    return None
+
+
 class _PeerProtocol(asyncio.DatagramProtocol):
     """Decodes datagrams from peers into events."""
 
@@ -133,13 +159,14 @@
         if message is None:
             self._counters["datagrams_garbled"] += 1
         else:
-            self._post(_PEER_EVENTS[type(message)](message))
+            self._post(PEER_EVENTS[type(message)](message))
 
     def error_received(self, exc: OSError) -> None:
         self._counters["datagrams_refused"] += 1
 
 
-_PEER_EVENTS: dict[type, type] = {
+#: Event of each type of datagram.
+PEER_EVENTS: dict[type, type] = {
     datagram.Gossip: events.GossipReceived,
     datagram.Reports: events.ReportsReceived,
     datagram.LostDomains: events.LostDomainsReceived,
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -23,6 +23,8 @@
 from hyssopproxy.transport import journal
 from hyssopproxy.transport import server
 
+SETTINGS_WAIT_S = 2.0  # how long a start waits for a file that is missing or invalid
+SETTINGS_RETRY_S = 0.05
 SETTINGS_POLL_S = 1.0  # poll interval of the settings file, which may change without a SIGHUP
 EXIT_MARGIN_S = 0.2  # time to end the process before SIGKILL
 GC_THRESHOLD = 20_000  # allocations between collections; fewer collections cut tail latency
@@ -32,14 +34,30 @@
     """Load the settings and run the daemon until it stops."""
     path = nodefile.path(os.environ)
     try:
-        node = nodefile.load(path)
         settings = environment.parse(os.environ)
+        node = _load_when_written(path)
     except problem.UserError as error:
         print(f"hyssopproxy: the settings are refused:\n{error}", file=sys.stderr)
         raise SystemExit(2) from None
     sys.exit(asyncio.run(serve(node, settings, path)))
 
 
+def _load_when_written(path: str) -> nodefile.NodeFile:
+    """Load the settings file; wait a while for one that is still being written."""
+    deadline = clock.read() + SETTINGS_WAIT_S
+    is_waiting = False
+    while True:
+        try:
+            return nodefile.load(path)
+        except problem.UserError as error:
+            if clock.read() >= deadline:
+                raise
+            if not is_waiting:
+                print(f"hyssopproxy: waiting for valid settings:\n{error}", file=sys.stderr)
+            is_waiting = True
+            time.sleep(SETTINGS_RETRY_S)
+
+
 def make_state(node: nodefile.NodeFile, policies: policy.Policies) -> states.State:
     """Return the initial state of a daemon."""
     return states.State(
@@ -105,34 +123,41 @@
 
 
 class SettingsWatcher:
-    """Reloads the settings file when it changes; ignores invalid contents."""
+    """Reloads the settings file when it changes; keeps the settings while it is not valid."""
 
     def __init__(self, runtime: runtimes.Runtime, path: str) -> None:
         self._runtime = runtime
         self._path = path
-        self._last_stat = self._stat()
+        self._loaded_stat = self._stat()
+        self._refusal = ""  # why the file was refused, until it is valid again
 
     def poll(self) -> None:
-        """Reload the file if it has changed, and schedule the next check."""
+        """Reload the file if it has changed or was refused, and schedule the next check."""
+        asyncio.get_running_loop().call_later(SETTINGS_POLL_S, self.poll)
         stat = self._stat()
-        if stat != self._last_stat:
-            self._last_stat = stat
+        if stat is not None and stat != self._loaded_stat:
             self.reload()
-        asyncio.get_running_loop().call_later(SETTINGS_POLL_S, self.poll)
 
     def reload(self) -> None:
         """Load the file and post the new settings, or log why they are invalid."""
+        stat = self._stat()
         try:
             node = nodefile.load(self._path)
         except problem.UserError as error:
-            fields = {"reason": str(error)}
-            self._runtime.logger.write("settings_refused", fields, clock.read(), is_urgent=True)
+            self._loaded_stat = None
+            if self._refusal != str(error):
+                self._refusal = str(error)
+                fields = {"reason": self._refusal}
+                self._runtime.logger.write("settings_refused", fields, clock.read(), is_urgent=True)
             return
+        self._loaded_stat = stat
+        self._refusal = ""
         self._runtime.post(event.SettingsChanged(node.engine))
 
-    def _stat(self) -> tuple[int, int]:
+    def _stat(self) -> tuple[int, int, int] | None:
+        """Return what identifies the contents of the file; None while it is being replaced."""
         try:
             stat_result = os.stat(self._path)
         except OSError:
-            return (0, 0)  # missing while it is being replaced; loaded at the next change
-        return (stat_result.st_mtime_ns, stat_result.st_size)
+            return None
+        return (stat_result.st_ino, stat_result.st_mtime_ns, stat_result.st_size)
--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -30,6 +30,7 @@
 FRESH_S = 1.8  # items stay fresh this long after a store read; exceeds a watch and its timeout
 COMPRESS_BYTES = 2048  # minimum size for compression; links between VMs may be slow
 COMPRESS_LEVEL = 1  # fastest
+MAX_WAIT_MS = 30_000  # longest wait of a watch
 MAX_TOMBSTONES = 500  # removals kept for followers that have not received them yet
 
 _DEFLATE = b"deflate"
@@ -179,8 +180,8 @@
             return None
         try:
             return decode(body)
-        except msgspec.MsgspecError as error:
-            self._fail(read, f"garbled: {error}")
+        except document.DECODE_ERRORS as error:
+            self._fail(read, f"garbled: {str(error)[:160]}")
             return None
 
     async def _call(self, read: effect.ReadPage | effect.ReadChanges, path: str) -> bytes | None:
@@ -271,10 +272,14 @@
             connection.reply(message.Response(503, [], b"nothing read yet"))
         elif parts.path == RANGE_PATH:
             _reply(connection, self._cache.page_after(query.get("after", "")))
-        elif parts.path == WATCH_PATH and query.get("after", "").isdigit():
-            self._handle_watch(
-                int(query["after"]), int(query.get("waitMs", "0")) / 1000, connection
-            )
+        elif parts.path == WATCH_PATH:
+            after = _parse_count(query.get("after", ""))
+            wait_ms = _parse_count(query.get("waitMs", "0"))
+            if after is None or wait_ms is None:
+                connection.reply(message.Response(400, [], b"after and waitMs are whole numbers"))
+            else:
+                wait_s = min(wait_ms, MAX_WAIT_MS) / 1000
+                self._handle_watch(after, wait_s, connection)
         else:
             connection.reply(message.Response(404, []))
 
@@ -316,6 +321,11 @@
                 connection.reply(message.Response(503, [], b"the store is not heard"))
 
 
+def _parse_count(text: str) -> int | None:
+    """Return a whole number, or None if the text is none."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else None
+
+
 def _reply(connection: server.Connection, value: msgspec.Struct) -> None:
     body = msgspec.json.encode(value)
     headers = [(b"Content-Type", b"application/json")]
--- a/hyssopproxy/problem.py
+++ b/hyssopproxy/problem.py
@@ -36,6 +36,7 @@
     OWNER_UNREACHABLE = (503, "look up whether the action ran, or repeat the key after Retry-After")
     ACTION_SHED = (503, "retry after Retry-After with the same key")
     ACTION_UNKNOWN = (502, "look up whether the action ran before sending it with a new key")
+    INTERNAL_ERROR = (500, "look up whether the request ran before sending it again")
 
     def __new__(cls, status: int, remedy: str) -> "Kind":
         # A distinct value keeps kinds with the same status and remedy from becoming aliases.
--- a/hyssopproxy/reducer.py
+++ b/hyssopproxy/reducer.py
@@ -16,9 +16,14 @@
 Handler = typing.Callable[[states.State, typing.Any, float, list], None]
 
 
-def reduce(state: states.State, posted_event: typing.Any, now: float) -> list:
-    """Apply one event to the state at time `now` (seconds) and return the effects."""
-    out: list = []
+def reduce(
+    state: states.State, posted_event: typing.Any, now: float, out: list | None = None
+) -> list:
+    """Apply one event to the state at time `now` (seconds) and return the effects.
+
+    They are appended to `out`, so that those before an unexpected error are not lost.
+    """
+    out = [] if out is None else out
     lifecycle.detect_pause(state, now, out)
     _HANDLERS[type(posted_event)](state, posted_event, now, out)
     if state.outbox or state.cancels:
--- a/hyssopproxy/runtime.py
+++ b/hyssopproxy/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import traceback
 import typing
 
 import structlog
@@ -34,7 +35,7 @@
         self._loop = asyncio.get_running_loop()
         self._replies: dict[int, asyncio.Future] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._pump = pump.Pump(self._reduce, self._execute)
+        self._pump = pump.Pump(self._reduce, self._execute, self._handle_error)
         self._log = structlog.get_logger()
 
     def start(self) -> None:
@@ -46,8 +47,29 @@
         """Pass an event to the reducer and execute the resulting effects."""
         self._pump.post(event)
 
-    def _reduce(self, event: typing.Any) -> list:
-        return reducer.reduce(self.state, event, time.monotonic())
+    def _reduce(self, event: typing.Any, effects: list) -> None:
+        reducer.reduce(self.state, event, time.monotonic(), effects)
+
+    def _handle_error(self, error: Exception, cause: typing.Any) -> None:
+        """Log an unexpected error, and refuse the request that met it."""
+        self.state.counters["internal_errors"] += 1
+        self._log.error(
+            "internal_error",
+            vm=self.state.identity.vm,
+            message=f"unexpected error at {type(cause).__name__}",
+            error=repr(error),
+            where=traceback.format_exception(error)[-3:],
+        )
+        number = getattr(cause, "query_no", None) or getattr(cause, "action_no", None)
+        if number is not None:
+            self._reply(
+                number,
+                problem.Problem(
+                    problem.Kind.INTERNAL_ERROR,
+                    "an unexpected error, see the log",
+                    problem.Execution.UNKNOWN,
+                ),
+            )
 
     def _execute(self, effect: typing.Any) -> None:
         _EXECUTORS[type(effect)](self, effect)
--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -20,6 +20,7 @@
 
 DEFAULT_IDLE_S = 8.0  # idle timeout assumed when the server's Keep-Alive header states none
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
+MAX_IDLE_S = 3600.0
 IDLE_MARGIN_S = 0.6  # reuse ends this long before the server's idle timeout (network delay)
 
 
@@ -232,7 +233,7 @@
         for part in keep_alive.split(b","):
             key, _, value = part.partition(b"=")
             if key.strip().lower() == b"timeout" and value.strip().isdigit():
-                idle_s = int(value)
+                idle_s = min(MAX_IDLE_S, float(value))
         self._last_used_at = clock.read()
         self._expires_at = self._last_used_at + max(0.2, idle_s - IDLE_MARGIN_S)
 
