--- a/hyssopproxy/action.py
+++ b/hyssopproxy/action.py
@@ -358,12 +358,20 @@
         state.counters["action_replies_late"] += 1
         return
     if reply.kind:
-        refusal = problem.Problem(Kind[reply.kind], reply.detail, Execution(reply.execution), 5)
-        _finish(state, action, refusal, out)
+        _finish(state, action, _decode_refusal(reply), out)
     else:
         _finish(state, action, states.Outcome(b"", now, reply.status, reply.body), out)
 
 
+def _decode_refusal(reply: message.ActionReply) -> problem.Problem:
+    """Return the refusal of the key's owner; one that this version does not know is unknown."""
+    kind = Kind.__members__.get(reply.kind)
+    executions = [execution for execution in Execution if execution.value == reply.execution]
+    if kind is None or not executions:
+        return _unknown(f"the owner of the key answered {reply.kind[:40]!r}: {reply.detail}")
+    return problem.Problem(kind, reply.detail, executions[0], 5)
+
+
 def expire_outcomes(state: states.State, now: float) -> None:
     """Drop the oldest outcomes: those that are expired or in excess of `MAX_OUTCOMES`."""
     for outcome_key, outcome in list(state.outcomes.items())[:1000]:
--- a/hyssopproxy/configuration.py
+++ b/hyssopproxy/configuration.py
@@ -116,7 +116,7 @@
     if old is not None:
         shards = {shard for snapshot in spec.snapshots for shard in snapshot.shards}
         service.hedge_budget.tokens = min(old.hedge_budget.tokens, service.hedge_budget.cap)
-        service.retry_budget.tokens = old.retry_budget.tokens
+        service.retry_budget.tokens = min(old.retry_budget.tokens, service.retry_budget.cap)
         service.gone_until = old.gone_until
         service.search_latency = old.search_latency
         if old.spec.hedge_percent == spec.hedge_percent:
--- a/hyssopproxy/ctl.py
+++ b/hyssopproxy/ctl.py
@@ -78,7 +78,15 @@
 
 def key() -> None:
     """Print a new secret key for --peer-key, shared by the whole fleet."""
-    print(zmq.curve_keypair()[1].decode())
+    print(make_key())
+
+
+def make_key() -> str:
+    """Return a new secret key that does not begin like a flag."""
+    while True:
+        secret = zmq.curve_keypair()[1].decode()
+        if not secret.startswith("-"):
+            return secret
 
 
 def search(
--- a/hyssopproxy/daemon.py
+++ b/hyssopproxy/daemon.py
@@ -19,12 +19,28 @@
 from hyssopproxy import settings as settings_module
 from hyssopproxy import state as states
 
+KEY_FLAG = "--peer-key"
 GC_THRESHOLD = 50_000  # allocations between garbage collections; rarer ones shorten latency tails
 
 
 def main() -> None:
     """Run hyssopproxyd."""
-    defopt.run(run, argv=sys.argv[1:], cli_options="all", no_negated_flags=True)
+    defopt.run(run, argv=join_values(sys.argv[1:]), cli_options="all", no_negated_flags=True)
+
+
+def join_values(argv: list[str]) -> list[str]:
+    """Return the arguments with each key joined to its flag, as a key may begin with a dash.
+
+    >>> join_values(["--vm", "a", "--peer-key", "-k"])
+    ['--vm', 'a', '--peer-key=-k']
+    """
+    joined: list[str] = []
+    for argument in argv:
+        if joined and joined[-1] == KEY_FLAG:
+            joined[-1] = f"{KEY_FLAG}={argument}"
+        else:
+            joined.append(argument)
+    return joined
 
 
 def run(
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -182,7 +182,8 @@
 def has_healthy_target(state: states.State, pool: str, now: float) -> bool:
     """Return whether a pool has a target that is reachable, in service and not backed off."""
     return any(
-        target.removed_at is None
+        not target.is_misdirected
+        and target.removed_at is None
         and target.draining_since is None
         and now >= target.backoff_until
         and target.entry.failure_domain not in state.domain_lost_at
--- a/hyssopproxy/explain.py
+++ b/hyssopproxy/explain.py
@@ -1,5 +1,6 @@
 """Finds a request in log files, with the events on its VM and targets at that time."""
 
+import datetime
 import pathlib
 import typing
 
@@ -37,11 +38,23 @@
                 line = msgspec.json.decode(raw[start:]) if start >= 0 else None
             except msgspec.DecodeError:
                 continue
-            if isinstance(line, dict) and isinstance(line.get("time"), (int, float)):
-                lines.append(line)
+            if isinstance(line, dict):
+                time_s = _read_time_s(line)
+                if time_s is not None:
+                    lines.append({**line, "time": time_s})
     return sorted(lines, key=lambda line: line["time"])
 
 
+def _read_time_s(line: dict) -> float | None:
+    """Return the Unix time of a line in seconds: a number, or an ISO timestamp (hyssopproxyd)."""
+    if isinstance(line.get("time"), (int, float)):
+        return line["time"]
+    try:
+        return datetime.datetime.fromisoformat(line["timestamp"]).timestamp()
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
 def explain(lines: list[dict], request_id: str) -> list[dict]:
     """Return the lines of a request, and those on its VM and targets around the same time."""
     request_lines = [line for line in lines if line.get("request_id") == request_id]
--- a/hyssopproxy/lifecycle.py
+++ b/hyssopproxy/lifecycle.py
@@ -67,11 +67,12 @@
 
 
 def _probe(state: states.State, now: float, out: list) -> None:
-    """Probe the status of draining targets and of cold targets that have not replied yet."""
+    """Probe the status of targets that are draining, backed off, or cold and yet to reply."""
     state.next_probe_at = now + PROBE_INTERVAL_S * (0.5 + state.rng.random())
     for target in state.targets.values():
         has_not_replied = target.is_cold and target.cold_since is None
-        if (target.is_draining or has_not_replied) and not target.spec.leaving:
+        is_backed_off = now < target.backoff_until
+        if (target.is_draining or has_not_replied or is_backed_off) and not target.spec.leaving:
             out.append(effect.ProbeStatus(target.spec.address))
 
 
--- a/hyssopproxy/state.py
+++ b/hyssopproxy/state.py
@@ -217,7 +217,7 @@
     rng: random.Random
     started_at: float
     action_window_s: float = 60.0
-    stop_grace_s: float = 3.0
+    stop_grace_s: float = 5.0
     seeds: tuple[str, ...] = ()  # peer addresses to ping until there is a configuration
     config: model.Config | None = None
     config_blob: bytes = b""  # the accepted value as published
--- a/hyssopproxy/target.py
+++ b/hyssopproxy/target.py
@@ -199,10 +199,13 @@
 ) -> None:
     """Record the result of a status probe.
 
-    A target that was draining and now accepts requests has restarted, so it is cold.
+    A target that was draining and now accepts requests has restarted, so it is cold. A target that
+    is backed off and answers gets one request as a trial, so that no backoff outlasts its cause by
+    much; if that fails too, the backoff continues where it was.
     """
     if reported is None or reported is event.TargetState.DRAINING:
         return
+    target.backoff_until = min(target.backoff_until, now)
     if not target.is_draining:
         if target.is_cold and target.cold_since is None:
             target.cold_since = now  # begins the ramp although this daemon sent no requests yet
--- a/tests/engine/test_placement.py
+++ b/tests/engine/test_placement.py
@@ -1,3 +1,4 @@
+from hyssopproxy.engine import model
 from hyssopproxy.engine import placement
 from tests.engine import world as worlds
 
@@ -52,3 +53,18 @@
     ), "a removed entry may be published again"
     world.state.domain_probed_at = dict.fromkeys(worlds.DOMAINS[1:], world.now + 2.5)
     assert not placement.has_reachable_target(world.state, "p", world.now + 2.5)
+
+
+def test_pool_whose_targets_lost_their_addresses_has_no_healthy_target():
+    """A request to such a pool is refused at once instead of after the longest wait."""
+    world = worlds.World()
+    replicas = world.add_pool("p")
+    for replica in replicas:
+        replica.fixed_outcome = model.Outcome.MISDIRECTED
+    world.publish_routes(worlds.plain_route(max_attempts=5))
+    world.start()
+    world.run(3.0)
+    number = world.send_request("/p/x")
+    world.run(0.05)
+    assert world.results[number].effect.is_not_run
+    assert not placement.has_healthy_target(world.state, "p", world.now)
--- a/tests/processes/test_once.py
+++ b/tests/processes/test_once.py
@@ -5,6 +5,7 @@
 
 import collections
 import concurrent.futures
+import itertools
 import random
 import signal
 
@@ -62,10 +63,15 @@
         for round_no, fault in enumerate(faults * 2):
             for target in fleet.layout.targets:
                 fleet.set_faults(target.name, **fault)
+            is_faultless = fault is faults[-1]
+            if is_faultless:
+                wait_until_served(fleet, f"served{round_no}")
             keys = [
                 f"chaos{round_no}.{number % KEYS_PER_FAULT}" for number in range(KEYS_PER_FAULT * 3)
             ]
             list(pool.map(send, keys, rng.choices(fleet.layout.vms, k=len(keys))))
+            if is_faultless:
+                assert any((200, None) in replies[key] for key in keys)
     for target in fleet.layout.targets:
         fleet.set_faults(target.name, stall_down=False, cut=False, byte_limit=0, delay_ms=0, loss=0)
     runs = count_runs(fleet)
@@ -75,7 +81,17 @@
             assert runs[key] == 1
         elif all(execution == "not_run" for _, execution in answers):
             assert runs[key] == 0
-    assert any((200, None) in answers for answers in replies.values())
+
+
+def wait_until_served(fleet, prefix):
+    """Wait until each daemon has had an action answered after the faults."""
+    for vm in fleet.layout.vms:
+        keys = (f"{prefix}.{vm.name}.{number}" for number in itertools.count())
+
+        def is_served(vm=vm, keys=keys):
+            return fleet.send_action(vm, next(keys), timeout_ms=600)[0] == 200
+
+        process.wait_for(is_served, "an action to be answered after the faults")
 
 
 def test_frozen_owner_runs_no_action_again_when_it_resumes(fleet):
--- a/tests/test_action.py
+++ b/tests/test_action.py
@@ -9,6 +9,7 @@
 from hyssopproxy import problem
 from hyssopproxy import share
 from hyssopproxy import state as states
+from hyssopproxy import target as targets
 from tests import world as worlds
 
 Kind = problem.Kind
@@ -181,3 +182,52 @@
 def test_unlisted_action_is_refused(world):
     (refusal,) = worlds.refusals(world.act("k", {"action": "erase"}))
     assert (refusal.kind, refusal.execution) == (Kind.UNKNOWN_ACTION, Execution.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"kind": "MADE_UP", "execution": "not_run"}, {"kind": "ACTION_SHED", "execution": ""}],
+)
+def test_refusal_of_a_newer_owner_that_is_not_understood_counts_as_unknown(world, fields):
+    got = world.act(key_of(world, "vm1"))
+    (forwarded,) = worlds.find(got, effect.SendPeer)
+    reply = message.ActionReply(forwarded.message.action_no, 0, detail="d", **fields)
+    (refusal,) = worlds.refusals(world.post(event.PeerMessageReceived(reply)))
+    assert refusal.kind is Kind.ACTION_UNKNOWN and refusal.execution is Execution.UNKNOWN
+
+
+def test_backed_off_target_that_answers_a_status_probe_gets_one_trial(world):
+    """Link faults of less than a second used to keep all targets backed off for up to 10 s."""
+    state = world.state
+    for _ in range(12):
+        for target in state.targets.values():
+            failure = event.Failure.RESET
+            targets.record_failure(state, target, failure, world.now, world.now, [])
+            target.is_cold = False
+        world.now += 0.001
+    keys = [key for key in (f"key{n}" for n in range(99)) if is_own_key(world, key)]
+    (refusal,) = worlds.refusals(world.act(keys[0]))
+    assert refusal.kind is Kind.ACTION_SHED and refusal.execution is Execution.NOT_RUN
+    probed = set()
+    for _ in range(20):
+        ticked = world.post(event.Tick(world.now), 0.1)
+        probed.update(probe.address for probe in worlds.find(ticked, effect.ProbeStatus))
+    assert probed == set(state.targets)
+    world.refresh()
+    world.pong(1)
+    address = next(
+        target.spec.address
+        for target in state.targets.values()
+        if target.spec.failure_domain == state.identity.failure_domain
+    )
+    world.post(event.StatusArrived(address, event.TargetState.WARM))
+    (sent,) = sent_actions(world.act(keys[1]))
+    assert sent.address == address
+    assert not sent_actions(world.act(keys[2])), "one request is the trial"
+    finish(world, sent, failure=event.Failure.RESET)
+    assert not sent_actions(world.act(keys[3])), "the trial failed"
+
+
+def is_own_key(world, key):
+    owners = world.state.memberships[-1].owners
+    return share.owner(f"letters\0{key}", owners) == world.state.identity.vm
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -30,3 +30,16 @@
     path = tmp_path / "log"
     path.write_bytes(b"no json\n{broken\n[1]\n")
     assert explain.explain(explain.read([path]), "r") == []
+
+
+def test_iso_timestamps_of_hyssopproxyd_are_read(tmp_path):
+    paths = write_log(
+        tmp_path,
+        {"event": "paused", "timestamp": "2026-12-04T10:00:00.500000Z", "vm": "a"},
+        {"event": "request", "request_id": "r", "timestamp": "2026-12-04T10:00:01Z", "vm": "a"},
+        {"event": "paused", "timestamp": "yesterday", "vm": "a"},
+        {"event": "paused", "timestamp": 5, "vm": "a"},
+    )
+    shown = explain.explain(explain.read(paths), "r")
+    assert [line["event"] for line in shown] == ["paused", "request"]
+    assert shown[1]["time"] - shown[0]["time"] == 0.5
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -305,3 +305,13 @@
     assert not any(
         route.snapshot.name != "s1" for route in world.state.services[fleets.SERVICE].routes
     )
+
+
+def test_budgets_carried_over_to_a_new_configuration_are_capped(world):
+    service = world.state.services[fleets.SERVICE]
+    service.hedge_budget.tokens = service.retry_budget.tokens = 1000.0
+    world.publish(version=7, budget={"hedge_percent": 3})
+    service = world.state.services[fleets.SERVICE]
+    assert service.spec.hedge_percent == 3
+    assert service.hedge_budget.tokens == service.hedge_budget.cap
+    assert service.retry_budget.tokens == service.retry_budget.cap
