A copy of a shed response no longer denies a run; running work is not disturbed by silence

Cause (shown by tests that fail before): a leaf that names no request sheds one, and sends a second copy of that 503 where the response to the next request is due. The copy was taken for the next response: the request was sent to another leaf as well, or refused 503 although it ran. A copy of the last but one response was taken too, as only the last stamp was kept.

Change: the last four stamps of a connection are kept, and a connection whose last response has neither a request id nor a stamp is closed.

Ruled out, with tests that pass before and after (tests/engine/test_running.py): a target, daemon or domain that is silent, lapsed, draining, evacuated or reported silent while it has a request: nothing is sent again unless it may be, within the budget, and no attempt is cancelled; no order of outcomes makes a once-only request run twice or a refusal untrue.

--- a/hyssopproxy/emulator/replica.py
+++ b/hyssopproxy/emulator/replica.py
@@ -28,7 +28,9 @@
     Faults: shed, other (another leaf has the address), error, silent, reset, truncate, garbage,
     extra (a stale response precedes the valid one), unframed (no Content-Length), unsigned (no
     Server-Stamp), cut (the response ends after `cut_bytes`), copy (a second copy of the response
-    follows with the next request), trickle, or a name of `endless.RESPONSES`.
+    follows with the next request, or the one after it if `copy_delay` is 1), copy_shed (every other
+    request is shed, and its response follows again with the next one), trickle, or a name of
+    `endless.RESPONSES`.
     """
 
     def __init__(self, name: str, records: typing.Sequence[bytes] = ()) -> None:
@@ -39,6 +41,7 @@
         self.cut_bytes = 0  # negative: counted from the end of the response
         self.echoes_id = True  # responses name the request
         self.copies_sent = 0
+        self.copy_delay = 0  # responses between a response and its second copy
         self.pause_every_s = 0.0  # 0 for no pauses
         self.pause_s = 0.0
         self.runs: list[Run] = []
@@ -47,7 +50,7 @@
         self.address = ""
         self.counters: collections.Counter = collections.Counter()
         self._server: asyncio.Server | None = None
-        self._last_responses: dict[asyncio.StreamWriter, bytes] = {}
+        self._last_responses: dict[asyncio.StreamWriter, list[bytes]] = {}
 
     async def start(self, host: str) -> None:
         """Listen on a free port."""
@@ -86,8 +89,18 @@
         run = Run(headers.get("request-id", ""), method, target, headers, body)
         if self.fault == "other" or headers.get("expected-instance") != self.name:
             return await self._send_response(writer, 421, [("Instance-Id", "other")], b"")
+        shed_headers = [("Not-Executed", "1")]
         if self.fault == "shed":
-            return await self._send_response(writer, 503, [("Not-Executed", "1")], b"")
+            return await self._send_response(writer, 503, shed_headers, b"")
+        if self.fault == "copy_shed":
+            shed = _encode_response(503, shed_headers, b"")
+            if writer not in self._last_responses:
+                self._last_responses[writer] = [shed]
+                writer.write(shed)
+                return True
+            del self._last_responses[writer]
+            self.copies_sent += 1
+            writer.write(shed)
         self.runs.append(run)
         return await self._respond(run, reader, writer)
 
@@ -130,10 +143,11 @@
             writer.write(_encode_response(200, headers, body)[: self.cut_bytes])
             return False
         if self.fault == "copy":
-            if writer in self._last_responses:
+            earlier = self._last_responses.setdefault(writer, [])
+            if len(earlier) > self.copy_delay:
                 self.copies_sent += 1
-                writer.write(self._last_responses[writer])
-            self._last_responses[writer] = _encode_response(200, headers, body)
+                writer.write(earlier.pop(0))
+            earlier.append(_encode_response(200, headers, body))
         if self.fault == "extra":
             stale = [("Server-Stamp", f"{self.name}.stale"), ("Request-Id", "stale")]
             writer.write(_encode_response(200, stale, b"stale answer 123"))
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -22,6 +22,7 @@
 CONNECT_TIMEOUT_S = 0.35  # TCP retransmits a lost SYN only after 1 s; retrying is faster
 RESPONSE_GRACE_S = 0.3  # network delay after the deadline; a live leaf has answered by the deadline
 MAX_COLD_LEFT_MS = 600_000  # longest cold start that a leaf may state
+RECENT_STAMPS = 4  # responses of a connection whose copies are recognised by their stamps
 FRESH_IDLE_S = 0.5  # a connection used within this time is not about to be closed as idle
 _LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 Outcome = model.Outcome
@@ -36,13 +37,15 @@
     """A connection to a leaf; knows which of its responses may be copies of earlier ones.
 
     Handles leaves that send a second copy of a response, late, while the connection carries another
-    request.
+    request. A copy is known by the request that it names, or by its stamp. A copy of a response with
+    neither could not be told from the next response, so such a connection is not used again.
     """
 
     def __init__(self, limits: limit.ResponseLimits, account: buffer.Account) -> None:
         super().__init__(limits, account)
+        self.is_reusable = True  # a copy of its last response would be recognised
         self._has_echoed_id = False  # earlier responses named their request
-        self._last_stamp: bytes | None = None
+        self._recent_stamps: tuple[bytes, ...] = ()
 
     def is_response_to(self, request_id: bytes, response: message.Response) -> bool:
         """Return whether a response belongs to the request in flight."""
@@ -52,9 +55,10 @@
             self._has_echoed_id = True
             is_expected = echoed == request_id
         else:
-            is_copy = stamp is not None and stamp == self._last_stamp
-            is_expected = not self._has_echoed_id and not is_copy
-        self._last_stamp = stamp
+            is_expected = not self._has_echoed_id and stamp not in self._recent_stamps
+        if stamp is not None:
+            self._recent_stamps = (*self._recent_stamps[1 - RECENT_STAMPS :], stamp)
+        self.is_reusable = echoed is not None or stamp is not None
         return is_expected
 
 
@@ -219,7 +223,7 @@
         self._end_attempt(exchange, Outcome.TIMEOUT)
 
     def _release(self, target_id: str, connection: _LeafConnection) -> None:
-        if connection.is_usable(clock.read()):
+        if connection.is_reusable and connection.is_usable(clock.read()):
             self._idle.setdefault(target_id, []).append(connection)
         else:
             connection.close()
--- a/tests/platform/test_faulty_leaf.py
+++ b/tests/platform/test_faulty_leaf.py
@@ -83,15 +83,16 @@
     sites.run_scenario(scenario, leaves_per_pool=1, maxAttempts=1)
 
 
+@pytest.mark.parametrize("copy_delay", [0, 1])
 @pytest.mark.parametrize("echoes_id", [True, False])
-def test_second_copy_of_a_response_reaches_no_other_caller(echoes_id):
-    """A leaf sends its last response again when the next request is in flight."""
+def test_second_copy_of_a_response_reaches_no_other_caller(echoes_id, copy_delay):
+    """A leaf sends an earlier response again when the next request, or a later one, is in flight."""
 
     async def scenario(site):
         daemon = site.daemons[0]
         leaves = [*leaves_of(site, "p"), *leaves_of(site, "s0")]
         for leaf in leaves:
-            leaf.fault, leaf.echoes_id = "copy", echoes_id
+            leaf.fault, leaf.echoes_id, leaf.copy_delay = "copy", echoes_id, copy_delay
         for number in range(12):
             target = f"/p/{number}"
             reply = await site.get(daemon, target)
@@ -105,3 +106,22 @@
         assert sum(leaf.copies_sent for leaf in leaves) >= 4
 
     sites.run_scenario(scenario, leaves_per_pool=1)
+
+
+def test_second_copy_of_a_shed_response_does_not_deny_a_run():
+    """The copy names no request; taken for the answer, it would have the request run twice."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        leaves = leaves_of(site, "p")
+        for leaf in leaves:
+            leaf.fault = "copy_shed"
+        for number in range(12):
+            for leaf in leaves:
+                leaf.runs.clear()
+            reply = await site.get(daemon, f"/p/{number}")
+            runs = sum(len(leaf.runs) for leaf in leaves)
+            assert runs <= 1
+            assert runs == 0 or reply.status not in (429, 503)
+
+    sites.run_scenario(scenario, type="non_idempotent", maxAttempts=3)
