--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -37,8 +37,8 @@
     """A connection to a leaf; knows which of its responses may be copies of earlier ones.
 
     Handles leaves that send a second copy of a response, late, while the connection carries another
-    request. A copy is known by the request that it names, or by its stamp. A copy of a response with
-    neither could not be told from the next response, so such a connection is not used again.
+    request. A copy is known by the request that it names or by its stamp. A copy of a response that
+    has neither could not be told from the next response, so its connection is not used again.
     """
 
     def __init__(self, limits: limit.ResponseLimits, account: buffer.Account) -> None:
--- a/tests/platform/test_faulty_leaf.py
+++ b/tests/platform/test_faulty_leaf.py
@@ -86,7 +86,7 @@
 @pytest.mark.parametrize("copy_delay", [0, 1])
 @pytest.mark.parametrize("echoes_id", [True, False])
 def test_second_copy_of_a_response_reaches_no_other_caller(echoes_id, copy_delay):
-    """A leaf sends an earlier response again when the next request, or a later one, is in flight."""
+    """A leaf sends an earlier response again when the next or a later request is in flight."""
 
     async def scenario(site):
         daemon = site.daemons[0]
