Daemons whose data are current may be followed, so calls to the platform no longer grow with the fleet

Of 195 daemons, 64 to 108 called in any two seconds: a daemon that had not heard of its reader for 4 s followed another one, which turned it away as it was no reader itself, and it then read the store for 3 s. Each failure of a reader did the same for all.

Change: a daemon's answer states the age of its data (Data-Age-Ms), so any daemon whose data are current may be followed; waiting followers are answered at each confirmation; an answer keeps its source alive in the follower's view. After a failure the next daemon is tried, and only then the store, spread over a time that grows with the domain; the first two of a domain retry it without that delay. A daemon behind a peer watches it instead of listing all items; compacted history is listed at the peer. The decision whether data are current moved from the cache to engine/sync.

Ruled out: the start (469 calls in the first 2 s, most of them listings; the first watch now waits 0.5 s).

--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -98,6 +98,14 @@
     timeout_s: float
 
 
+@attrs.frozen
+class AnswerFollowers:
+    """Answer the daemons that wait for changes of this daemon's data.
+
+    Either there are changes, or the data are known to be current, or they no longer are.
+    """
+
+
 @attrs.frozen
 class SendPeer:
     """Send a datagram to another daemon, without a delivery guarantee."""
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -67,6 +67,7 @@
     changes: tuple[model.Change, ...]
     as_of: int  # revision of the source
     next_after: str | None  # key after which the next page starts; None after the last page
+    age_s: float = 0.0  # how long ago the source's data were known to be current
 
 
 @attrs.frozen
@@ -76,6 +77,7 @@
     read_no: int
     changes: tuple[model.Change, ...]
     as_of: int  # revision of the source
+    age_s: float = 0.0  # how long ago the source's data were known to be current
 
 
 @attrs.frozen
@@ -85,6 +87,7 @@
     read_no: int
     reason: str
     is_compacted: bool = False  # the history after the requested revision was dropped
+    is_refused: bool = False  # the source answered that it cannot serve the read now
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -174,14 +174,22 @@
     source: str = ""  # address that is read
     listing: Listing | None = None
     failures: int = 0  # consecutive failed reads of the store
+    store_failed_at: float = NEVER
+    peer_failures: int = 0  # consecutive failed reads of peers
     next_read_at: float = NEVER
-    peer_backoff_until: float = NEVER  # the store is read instead of a peer until then
-    last_synced_at: float = NEVER  # last answer of the store or of a peer that follows it
+    store_retry_at: float = NEVER  # the store is not read before
+    avoided_peers: dict[str, float] = attrs.field(factory=dict)  # IP address -> until when
+    last_synced_at: float = NEVER  # when the data were last known to be current
     lagging_since: float | None = None  # since when a peer has had newer data
-    has_lost_store: bool = False  # two consecutive reads of the store failed
+    lost_store_at: float | None = None  # when two consecutive reads of the store had failed
     removed_revisions: dict[str, int] = attrs.field(factory=dict)  # key -> revision of its removal
     revisions: dict[str, int] = attrs.field(factory=dict)  # key -> revision applied
 
+    def is_current(self, max_age_s: float, now: float) -> bool:
+        """Return whether the data were current recently, and after the last failed store read."""
+        is_recent = now - self.last_synced_at <= max_age_s
+        return is_recent and self.last_synced_at > self.store_failed_at
+
 
 @attrs.define(eq=False)
 class State:
--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -2,10 +2,15 @@
 
 Handles the case where the store is unreachable for all or some daemons, answers are lost, the
 requested history was compacted, or a connection delivers no more data without being closed.
-Revisions only increase: an item is never replaced by an older revision of it. One daemon of each
-failure domain, the reader, watches the store, and the others watch the reader, so that a change
-costs the store a few calls whatever the size of the fleet. A reader that cannot read the store
-rejects the reads of its followers immediately, and they read the store themselves.
+Revisions only increase: an item is never replaced by an older revision of it.
+
+One daemon of each failure domain, the reader, watches the store, and the others follow it, so that
+the calls to the store do not grow with the fleet. Each answer of a peer states the age of its data,
+so any daemon whose data are current may be followed, and daemons that disagree on the reader still
+read the store no more often. A daemon that cannot vouch for its data turns its followers away
+immediately. They try the next daemon, and only then the store, spread over a time that grows with
+the failure domain: whatever the store refuses, its calls per second stay bounded, and the first
+daemon that it serves is followed by the others.
 """
 
 import zlib
@@ -16,9 +21,19 @@
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import state as states
 
-PEER_BACKOFF_S = 3.0  # the store is read for this long after a failed read of a peer
+FRESH_S = 1.8  # older data are not passed on to followers; exceeds a watch and its timeout
+PEER_BACKOFF_S = 3.0  # a peer that gave no answer is not read again for this long
+REFUSED_BACKOFF_S = 0.5  # the same for a peer that could not vouch for its data
+PEER_INTERVAL_S = 0.25  # between reads of peers, once several in a row failed
+MIN_RENEWAL_S = 0.2  # followers that wait are told only of data confirmed this much later
+PEERS_BEFORE_STORE = 2  # consecutive failed reads of peers after which the store is read
+QUICK_READERS = 2  # daemons of a failure domain that retry the store without further delay
+STORE_SPREAD_S = 0.05  # delay of the others' reads of the store, times the size of the domain
+MAX_SPREAD_FAILURES = 3  # further failures of this daemon do not increase the delay
 LONG_POLL_S = 1.0  # wait of a watch; short, as a dead connection hides changes for this long
 BATCH_DELAY_S = 0.25  # delay after a change, so that a burst of changes causes few reads
+# Delay of the first watch after a start, in which most daemons learn of their reader.
+FIRST_WATCH_DELAY_S = 0.5
 PAGE_TIMEOUT_S = 1.0
 RESPONSE_TIMEOUT_S = 0.6  # time for the response to a watch, in addition to its wait
 RETRY_S = 0.1
@@ -27,6 +42,16 @@
 FIRST_READ_TIMEOUT_S = 0.6  # time after a start until a daemon without data reads a peer
 
 
+def may_serve_followers(state: states.State, now: float) -> bool:
+    """Return whether this daemon can vouch for its data, so that others may follow it."""
+    return state.sync.as_of is not None and state.sync.is_current(FRESH_S, now)
+
+
+def data_age_s(state: states.State, now: float) -> float:
+    """Return how long ago this daemon's data were known to be current."""
+    return now - state.sync.last_synced_at
+
+
 def handle_tick(state: states.State, now: float, out: list) -> None:
     """Start the next read if none is in flight, or read a peer that has newer data."""
     sync = state.sync
@@ -36,24 +61,34 @@
         sync.lagging_since = None
         state.counters["reads_of_peers"] += 1
         out.append(effect.Log("read_from_peer", {"peer": peer, "failures": sync.failures}))
-        _start_listing(state, peer, out)
+        _start_read_from(state, peer, out)
         return
     if sync.read_no == 0 and now >= sync.next_read_at:
         _start_read(state, now, out)
 
 
 def _start_read(state: states.State, now: float, out: list) -> None:
+    sync = state.sync
+    source = state.settings.store if sync.as_of is None else _choose_source(state, now)
+    if source == state.settings.store and now < sync.store_retry_at:
+        return
+    _start_read_from(state, source, out)
+
+
+def _start_read_from(state: states.State, source: str, out: list) -> None:
+    """Watch a source, or list its items if this daemon has no data."""
     sync = state.sync
     if sync.as_of is None:
-        _start_listing(state, state.settings.store, out)
+        _start_listing(state, source, out)
         return
+    sync.listing = None
     sync.read_no = state.next_number()
-    sync.source = _choose_source(state, now)
+    sync.source = source
     out.append(
         effect.ReadChanges(
             read_no=sync.read_no,
-            source=sync.source,
-            is_store=sync.source == state.settings.store,
+            source=source,
+            is_store=source == state.settings.store,
             after=sync.as_of,
             wait_s=LONG_POLL_S,
             timeout_s=LONG_POLL_S + RESPONSE_TIMEOUT_S,
@@ -62,34 +97,62 @@
 
 
 def _choose_source(state: states.State, now: float) -> str:
-    """Return the address to watch: the reader's, or the store's if this daemon is the reader.
+    """Return the address to watch: a daemon's, or the store's.
 
-    For `PEER_BACKOFF_S` after a failed read of a peer, it is the store's address.
+    The store is read by the reader itself, and by others after several peers failed.
     """
-    reader = find_reader(state, now)
-    if reader == state.settings.ip or now < state.sync.peer_backoff_until:
+    sync = state.sync
+    is_store_due = now >= sync.store_retry_at
+    if sync.peer_failures >= PEERS_BEFORE_STORE and is_store_due:
+        return state.settings.store
+    reader = find_reader(state, now, includes_self=is_store_due)
+    if reader == state.settings.ip:
         return state.settings.store
     return f"{reader}:{state.settings.control_port}"
 
 
-def find_reader(state: states.State, now: float) -> str:
+def find_reader(state: states.State, now: float, includes_self: bool = True) -> str:
     """Return the IP address of the daemon that watches the store for this failure domain.
 
     It is the live daemon with the highest link bandwidth, as it passes each change on to all
-    others; ties are broken by rendezvous hashing. Other daemons without data or with stale data are
-    not eligible. Daemons that know of different live members may follow different readers, which
-    costs additional calls but does not delay changes.
+    others; ties are broken by rendezvous hashing. Other daemons are not eligible without data, with
+    stale data, or for some time after a read of them failed. Daemons that know of different live
+    members may follow different daemons. Without `includes_self`, this daemon is the last choice.
     """
     settings = state.settings
-    links = {settings.ip: settings.link_mbps}
+    links = {settings.ip: settings.link_mbps} if includes_self else {}
     for member in membership.live_members(state, now):
         if (
             member.failure_domain == settings.failure_domain
-            and member.version
+            and (member.version or member.revision)
             and not member.is_stale
+            and now >= state.sync.avoided_peers.get(member.ip, states.NEVER)
         ):
             links[member.ip] = member.link_mbps
-    return max(links, key=lambda ip: (links[ip], zlib.crc32(ip.encode()), ip))
+    return max(links, key=lambda ip: _rank(ip, links[ip]), default=settings.ip)
+
+
+def _rank(ip: str, link_mbps: float) -> tuple:
+    return (link_mbps, zlib.crc32(ip.encode()), ip)
+
+
+def _store_delay_s(state: states.State, now: float) -> float:
+    """Return a random delay before this daemon reads a store that others could not read.
+
+    The delays spread over a time that grows with the failure domain and with each failure, except
+    for the daemons that would be readers first.
+    """
+    settings = state.settings
+    spread_s = STORE_SPREAD_S * (1 + min(state.sync.failures, MAX_SPREAD_FAILURES))
+    own_rank = _rank(settings.ip, settings.link_mbps)
+    domain_ranks = [
+        _rank(member.ip, member.link_mbps)
+        for member in membership.live_members(state, now)
+        if member.failure_domain == settings.failure_domain
+    ]
+    if sum(rank > own_rank for rank in domain_ranks) < QUICK_READERS:
+        return 0.0
+    return spread_s * len(domain_ranks) * state.rng.random()
 
 
 def _start_listing(state: states.State, source: str, out: list) -> None:
@@ -125,13 +188,20 @@
 
 
 def _find_newer_peer(state: states.State, now: float) -> str | None:
-    """Return the control address of the live peer with the newest data, None if it is not newer."""
+    """Return the control address of the live peer with the newest data, None if it is not newer.
+
+    Peers of this failure domain are preferred.
+    """
     version = state.table.version if state.table else 0
+    revision = state.sync.revision
     best = None
-    best_rank = (version, state.sync.revision)
+    best_rank: tuple = ()
     for member in membership.live_members(state, now):
-        rank = (member.version, member.revision)
-        if member.version >= version and rank > best_rank:
+        if (member.version, member.revision) <= (version, revision) or member.version < version:
+            continue
+        is_local = member.failure_domain == state.settings.failure_domain
+        rank = (member.version, member.revision, is_local)
+        if rank > best_rank:
             best, best_rank = member, rank
     return f"{best.ip}:{state.settings.control_port}" if best else None
 
@@ -154,9 +224,12 @@
     for key, revision in list(sync.revisions.items()):
         if key not in listing.seen and revision <= listing.first_as_of:
             catalog.remove(state, key, listing.first_as_of, now, out)
-    _record_success(state, now, out)
+    is_first = sync.as_of is None
     sync.as_of = max(sync.as_of or 0, listing.first_as_of)
     sync.listing = None
+    _record_success(state, page.age_s, True, now, out)
+    if is_first and not membership.has_settled(state, now):
+        sync.next_read_at = now + FIRST_WATCH_DELAY_S
     fields = {"source": sync.source, "as_of": sync.as_of, "items": len(listing.seen)}
     out.append(effect.Log("listed", fields))
     sync.source = ""
@@ -171,51 +244,82 @@
     for change in read.changes:
         catalog.apply(state, change, now, out)
     sync.as_of = max(sync.as_of or 0, read.as_of)
-    _record_success(state, now, out)
+    _record_success(state, read.age_s, bool(read.changes), now, out)
     if read.changes and source == state.settings.store:
         sync.next_read_at = now + BATCH_DELAY_S
     else:
         _start_read(state, now, out)
 
 
-def _record_success(state: states.State, now: float, out: list) -> None:
+def _record_success(
+    state: states.State, age_s: float, has_changes: bool, now: float, out: list
+) -> None:
+    """Record a read; followers are answered if there is anything new for them.
+
+    Daemons that follow each other would otherwise answer each other without end.
+    """
     sync = state.sync
     sync.read_no = 0
     sync.next_read_at = now
-    if sync.source != state.settings.store:
-        if sync.listing is None:
-            sync.last_synced_at = now
-        return
-    if sync.has_lost_store:
-        out.append(effect.Log("store_back", {"silent_s": round(now - sync.last_synced_at, 2)}))
-    sync.has_lost_store = False
-    sync.failures = 0
-    sync.last_synced_at = now
+    sync.peer_failures = 0
+    is_renewed = now - age_s >= sync.last_synced_at + MIN_RENEWAL_S
+    sync.last_synced_at = max(sync.last_synced_at, now - age_s)
+    if sync.source == state.settings.store:
+        sync.failures = 0
+        sync.store_retry_at = states.NEVER
+        if sync.lost_store_at is not None:
+            fields = {"after_s": round(now - sync.lost_store_at, 2)}
+            out.append(effect.Log("store_back", fields))
+            sync.lost_store_at = None
+    elif _ip(sync.source) in state.members:
+        state.members[_ip(sync.source)].last_seen_at = now
+    if is_renewed or has_changes:
+        out.append(effect.AnswerFollowers())
+
+
+def _ip(source: str) -> str:
+    return source.rpartition(":")[0]
 
 
 def handle_read_failed(
     state: states.State, failed: event.ReadFailed, now: float, out: list
 ) -> None:
-    """Schedule a retry, or start a new listing if the history was compacted."""
+    """Choose when and from where to read next; after compacted history, start a new listing."""
     sync = state.sync
     if failed.read_no != sync.read_no:
         return
     sync.read_no = 0
     sync.listing = None
+    source, sync.source = sync.source, ""
     if failed.is_compacted:
-        out.append(effect.Log("history_dropped", {"after": sync.as_of}))
-        _start_listing(state, state.settings.store, out)
+        out.append(effect.Log("history_dropped", {"after": sync.as_of, "source": source}))
+        _start_listing(state, source, out)
         return
     state.counters["reads_failed"] += 1
-    is_store = sync.source == state.settings.store
-    sync.source = ""
-    if not is_store:
-        sync.peer_backoff_until = now + PEER_BACKOFF_S
-        sync.next_read_at = now
+    if source != state.settings.store:
+        _record_peer_failure(state, _ip(source), failed.is_refused, now)
         return
     sync.failures += 1
+    sync.peer_failures = 0
+    sync.store_failed_at = now
+    out.append(effect.AnswerFollowers())
     if sync.failures == 2:
-        sync.has_lost_store = True
+        sync.lost_store_at = now
         out.append(effect.Log("store_lost", {"reason": failed.reason}))
-    delay = min(MAX_RETRY_S, RETRY_S * 2 ** min(sync.failures, 6))
-    sync.next_read_at = now + delay * (0.5 + state.rng.random())
+    delay_s = min(MAX_RETRY_S, RETRY_S * 2 ** min(sync.failures, 6))
+    delay_s = delay_s * (0.5 + state.rng.random()) + _store_delay_s(state, now)
+    sync.store_retry_at = now + delay_s
+    sync.next_read_at = now
+
+
+def _record_peer_failure(state: states.State, ip: str, is_refused: bool, now: float) -> None:
+    """Try another peer next, and the store after several; from then on, peers only now and then."""
+    sync = state.sync
+    sync.avoided_peers = {peer: at for peer, at in sync.avoided_peers.items() if at > now}
+    sync.avoided_peers[ip] = now + (REFUSED_BACKOFF_S if is_refused else PEER_BACKOFF_S)
+    sync.peer_failures += 1
+    if sync.peer_failures == PEERS_BEFORE_STORE:
+        sync.store_retry_at = max(sync.store_retry_at, now + _store_delay_s(state, now))
+    is_store_next = sync.peer_failures >= PEERS_BEFORE_STORE and now >= sync.store_retry_at
+    is_paced = sync.peer_failures >= PEERS_BEFORE_STORE and not is_store_next
+    sync.next_read_at = now + (PEER_INTERVAL_S if is_paced else 0.0)
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -14,6 +14,7 @@
 from hyssopproxy.engine import model
 from hyssopproxy.engine import reducer
 from hyssopproxy.engine import state as states
+from hyssopproxy.engine import sync
 from hyssopproxy.platform import ingress as ingresses
 from hyssopproxy.platform import leaf
 from hyssopproxy.platform import store
@@ -38,6 +39,11 @@
         self.metrics = metric.Metrics()
         self.ended = asyncio.Event()
         self.cache = store.ItemCache()
+        self.cache_handler = store.CacheHandler(
+            self.cache,
+            lambda: sync.may_serve_followers(self.state, clock.read()),
+            lambda: sync.data_age_s(self.state, clock.read()),
+        )
         self.ingress = ingresses.Ingress(self.post, state.next_number)
         self.account = buffer.Account(limits.total_bytes)
         self.front = server.Server(self.ingress, self.account)
@@ -115,6 +121,9 @@
     def _read_changes(self, effect: effects.ReadChanges) -> None:
         self._start_task(self._store_client.read_changes(effect))
 
+    def _answer_followers(self, effect: effects.AnswerFollowers) -> None:
+        self.cache_handler.answer_watches()
+
     def _send_peer(self, effect: effects.SendPeer) -> None:
         data = datagram.encode(effect.message)
         self._peer_transport.sendto(data, (effect.ip, self._peer_port))
@@ -182,6 +191,7 @@
     effects.ScheduleEvent: Runtime._schedule_event,
     effects.ReadPage: Runtime._read_page,
     effects.ReadChanges: Runtime._read_changes,
+    effects.AnswerFollowers: Runtime._answer_followers,
     effects.SendPeer: Runtime._send_peer,
     effects.CloseTarget: Runtime._close_target,
     effects.Log: Runtime._log,
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -18,7 +18,6 @@
 from hyssopproxy.platform import nodefile
 from hyssopproxy.platform import operator
 from hyssopproxy.platform import runtime as runtimes
-from hyssopproxy.platform import store
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import journal
 from hyssopproxy.transport import server
@@ -80,7 +79,7 @@
         (server.Server(operator.Metrics(runtime)), node.engine.ip, settings.metrics_port),
     ]
     if node.control is not None:
-        control = server.Server(store.CacheHandler(runtime.cache))
+        control = server.Server(runtime.cache_handler)
         listeners.append((control, node.control.host, node.control.port))
     try:
         for listener, host, port in listeners:
