Trial: searches are admitted by the capacity of scarce shards; missing answers tell how slow targets are

What the daemons know of it is little: a target whose answers do not arrive counts as twice as slow, as only answers and the time of the hedge are recorded.

Change: (1) a missing answer is recorded and reported again each time it is twice as late, and counts fully once two such events 0.3 s apart are known; targets of a domain that was lost start afresh when it is back. A search is sent to as many scarce pools as it needs, at random in proportion to their capacity, and refused beyond that.

--- a/hyssopproxy/engine/health.py
+++ b/hyssopproxy/engine/health.py
@@ -20,6 +20,8 @@
 SLOW_RATIO = 2.5  # reports of a target already known to be this slow are not passed on
 FAILING_RATE = 0.2  # reports of a target already known to fail at this rate are not passed on
 LATE_WINDOW_S = 1.5  # two late answers within this time indicate slowness, not recurring pauses
+LATE_MERGE_S = 0.3  # late and missing answers this close together may have one cause, as a pause
+SILENT_GROWTH = 2.0  # a missing answer is recorded again when it is this many times as late
 MAX_SINGLE_LATE_RATIO = 3.0  # cap on the ratio of a single late answer, as after a lost packet
 SILENT_S = 0.12  # minimum delay over the typical latency at which a missing answer is reported
 SILENT_RATIO = 4.0  # the same, as a multiple of the typical latency
@@ -101,13 +103,13 @@
     attempt.is_overdue = True
     if attempt.typical_latency_s > 0.0:
         ratio = (now - attempt.sent_at) / attempt.typical_latency_s
-        if ratio > slowness(attempt.target, now):
-            _update_slowness(attempt.target, min(MAX_SLOWNESS, ratio), now)
+        _raise_slowness(attempt.target, ratio, now)
 
 
 def record_silent(state: states.State, attempt: states.Attempt, now: float) -> None:
-    """Record a request as silent if it is so late that its target may be unreachable.
+    """Record a request as silent if it is so late that its target may be unreachable or overloaded.
 
+    It is recorded again as it gets later, as its delay shows how long the queue of the target is.
     The first requests after a start are late even at reachable targets, as they open connections.
     """
     late_s = now - attempt.sent_at - attempt.typical_latency_s
@@ -115,15 +117,38 @@
         return
     if attempt.typical_latency_s <= 0.0 or _is_paused(attempt, now, state.pause_pattern):
         return
-    attempt.is_silent = True
-    reach.record_no_answer(state, attempt.target.entry.failure_domain, now)
-    ratio = min(MAX_SLOWNESS, (now - attempt.sent_at) / attempt.typical_latency_s)
-    queue_observation(state, attempt.target, datagram.Symptom.SILENT, now, ratio)
+    ratio = (now - attempt.sent_at) / attempt.typical_latency_s
+    if ratio < SILENT_GROWTH * attempt.silent_ratio:
+        return
+    target = attempt.target
+    if attempt.silent_ratio == 0.0:
+        reach.record_no_answer(state, target.entry.failure_domain, now)
+    attempt.silent_ratio = ratio
+    ratio = min(MAX_SLOWNESS, ratio)
+    queue_observation(state, target, datagram.Symptom.SILENT, now, ratio)
+    _record_late(target, now)
+    _raise_slowness(target, _cap_single_late(target, ratio, now), now)
+
+
+def _record_late(target: states.Target, now: float) -> None:
+    """Record the time of a late or missing answer, together with those that it belongs to."""
+    if now - target.late_at > LATE_MERGE_S:
+        target.earlier_late_at = target.late_at
+        target.late_at = now
+
+
+def _raise_slowness(target: states.Target, ratio: float, now: float) -> bool:
+    """Update the slowness by a ratio that is a lower limit; return whether it was higher."""
+    is_higher = ratio > slowness(target, now)
+    if is_higher:
+        _update_slowness(target, min(MAX_SLOWNESS, ratio), now)
+    return is_higher
 
 
 def _cap_single_late(target: states.Target, ratio: float, now: float) -> float:
     """Return the ratio, capped unless other answers were late recently."""
-    if target.pauses.count_since(now - LATE_WINDOW_S) >= 2:
+    since = now - LATE_WINDOW_S
+    if target.earlier_late_at >= since or target.pauses.count_since(since) >= 2:
         return ratio
     return min(ratio, MAX_SINGLE_LATE_RATIO)
 
@@ -195,6 +220,7 @@
     if observation.symptom is datagram.Symptom.LATE:
         return _record_reported_late(state, target, observation, now)
     if observation.symptom is datagram.Symptom.SILENT:
+        _record_late(target, observation.at)
         return _update_reported_slowness(
             target, _cap_single_late(target, observation.ratio, now), now
         )
@@ -220,6 +246,5 @@
 def _update_reported_slowness(target: states.Target, ratio: float, now: float) -> bool:
     """Record a slowness that another daemon reports; return whether it is new information."""
     current = slowness(target, now)
-    if ratio > current:
-        _update_slowness(target, min(MAX_SLOWNESS, ratio), now)
-    return current < SLOW_RATIO
+    _raise_slowness(target, ratio, now)
+    return current < max(SLOW_RATIO, ratio / SILENT_GROWTH)
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -12,7 +12,9 @@
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
+from hyssopproxy.engine import overload
 from hyssopproxy.engine import placement
+from hyssopproxy.engine import policy
 from hyssopproxy.engine import routing
 from hyssopproxy.engine import state as states
 
@@ -50,10 +52,22 @@
     if not _can_reach_least_coverage(state, query, now):
         answer.refuse_new(state, arrived, Refusal.COVERAGE_TOO_LOW, now, out)
         return
+    plan = policy.ADMIT_ALL
+    if route.is_search:
+        overload.record_search(state, _typical_latency_s(state, route), now)
+        plan = overload.plan(state, query, now)
+    if plan.is_refused:
+        scarce = overload.describe(state, query, now)
+        answer.refuse_new(state, arrived, Refusal.OVERLOADED, now, out, **scarce)
+        return
     state.queries[query.number] = query
     for part in query.parts:
         _record_first_attempt(state, part.pool, now)
-        _send_or_wait(state, part, now, out)
+        part.is_scarce = part.pool in plan.scarce
+        if part.pool in plan.left_out:
+            _give_up(part, "overloaded")
+        else:
+            _send_or_wait(state, part, now, out)
     _finish_or_schedule(state, query, now, out)
 
 
@@ -265,6 +279,8 @@
     outcome = ended.outcome
     state.counters[f"attempts_{outcome.value}"] += 1
     latency = state.statistics(attempt.part.query.route).latency
+    if outcome is not Outcome.ANSWERED and outcome.may_have_arrived:
+        health.record_silent(state, attempt, now)
     if ended.cold_left_s is not None:
         placement.record_cold_start(target, ended.cold_left_s, now)
     if outcome is Outcome.ANSWERED:
@@ -320,7 +336,9 @@
 
 
 def _hedge_if_due(state: states.State, part: states.Part, now: float, out: list) -> None:
-    if not part.attempts or any(attempt.hedge_at > now for attempt in part.attempts):
+    if part.is_scarce or not part.attempts:
+        return
+    if any(attempt.hedge_at > now for attempt in part.attempts):
         return
     route = part.query.route
     if not route.is_idempotent or part.runs >= route.max_attempts:
@@ -356,8 +374,7 @@
         if attempt.hedge_at <= now:
             if not attempt.is_overdue:
                 health.record_overdue(state, attempt, now)
-            if not attempt.is_silent:
-                health.record_silent(state, attempt, now)
+            health.record_silent(state, attempt, now)
 
 
 def _finish_or_schedule(state: states.State, query: states.Query, now: float, out: list) -> None:
--- a/hyssopproxy/engine/reach.py
+++ b/hyssopproxy/engine/reach.py
@@ -66,6 +66,7 @@
         if target.entry.failure_domain == domain:
             target.backoff_until = states.NEVER
             target.consecutive_faults = 0
+            target.slowness = min(target.slowness, 1.0)  # its silence said nothing of its speed
 
 
 def record_datagram(state: states.State, domain: str, now: float) -> None:
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -44,6 +44,8 @@
     attempts: dict[int, "Attempt"] = attrs.field(factory=dict)  # in flight by number, oldest first
     slowness: float = 1.0  # moving average of latency divided by the median of the route
     slowness_at: float = NEVER
+    late_at: float = NEVER  # first of the newest late or missing answers that belong together
+    earlier_late_at: float = NEVER  # the same of those before
     consecutive_faults: int = 0
     backed_off_at: float = NEVER
     backoff_until: float = NEVER
@@ -76,7 +78,7 @@
     is_extra: bool  # a hedge, or a retry of a request that a target may have received
     is_abandoned: bool = False  # its answer is no longer needed
     is_overdue: bool = False  # `hedge_at` has passed without an answer
-    is_silent: bool = False  # unanswered for several times the typical latency
+    silent_ratio: float = 0.0  # elapsed time divided by the typical latency, when last recorded
 
 
 @attrs.define(eq=False)
@@ -90,6 +92,7 @@
     tried: set[str] = attrs.field(factory=set)  # ids of the targets that it was sent to
     reply: typing.Any = None
     failure: typing.Any = None  # error reply of a target, delivered if no attempt succeeds
+    is_scarce: bool = False  # its pool cannot serve all searches
     has_sent: bool = False
     may_have_arrived: bool = False
     waiting_since: float | None = None  # since when no target or retry budget has been available
@@ -153,6 +156,7 @@
     revision: int
     is_stale: bool  # its copy of the published data may be out of date
     link_mbps: float  # bandwidth of the link of its VM
+    load: float  # slots of each shard that its searches occupy
     last_seen_at: float  # when its latest heartbeat arrived, directly or relayed
 
 
@@ -220,6 +224,8 @@
     suspected_domains: dict[str, float | None] = attrs.field(factory=dict)
     isolated_since: float | None = None  # since when it has been in a minority partition
     route_statistics: dict[str, RouteStatistics] = attrs.field(factory=dict)
+    search_work_s: float = 0.0  # work of this daemon's searches at each shard, decayed by age
+    search_work_at: float = NEVER
     budgets: dict[str, budget.Budget] = attrs.field(factory=dict)  # by pool
     split_deficits: dict[str, dict[str, float]] = attrs.field(factory=dict)  # by route and pool
     queries: dict[int, Query] = attrs.field(factory=dict)
--- a/tests/engine/test_reach.py
+++ b/tests/engine/test_reach.py
@@ -3,6 +3,7 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
+from hyssopproxy.engine import health
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import model
 from hyssopproxy.engine import reach
@@ -193,3 +194,13 @@
     for _ in range(20):
         world.run(0.01)
         assert not world.state.domain_lost_at
+
+
+def test_silence_of_a_lost_domain_does_not_count_against_its_targets_when_it_is_back():
+    world = make_daemon({worlds.HOME: 2, "domain-b": 3, "domain-c": 3})
+    partition(world, "domain-b")
+    silent = [t for t in world.state.targets.values() if t.entry.failure_domain == "domain-b"]
+    assert max(health.slowness(target, world.now) for target in silent) > 2.0
+    world.unreachable_domains = set()
+    world.receive_gossip("10.9.0.12", "domain-b", heartbeat=50)
+    assert max(health.slowness(target, world.now) for target in silent) <= 1.0
