Admission by capacity taken out again; missing answers stay evidence of how slow a target is

Change: admission, loads in gossip and random placement at scarce pools are reverted.

Conclusion: leaving shards out by choice needs to know the load within a second and the capacity without the queue's own delay.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -4,8 +4,6 @@
 executed the request, and randomised retry times keep callers from returning all at once.
 """
 
-import typing
-
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
@@ -24,21 +22,15 @@
 
 
 def refuse_new(
-    state: states.State,
-    arrived: event.RequestArrived,
-    reason: Refusal,
-    now: float,
-    out: list,
-    **inputs: typing.Any,
+    state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
 ) -> None:
-    """Refuse a request before anything is sent to a target; `inputs` decided it and are logged."""
+    """Refuse a request before anything is sent to a target."""
     retry_after_s = _retry_after_s(state, now)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
         "reason": reason.value,
         "version": state.table.version if state.table else 0,
-        **inputs,
     }
     out.append(effect.Log("request_refused", fields, is_urgent=True))
     out.append(effect.Refuse(arrived.query_no, reason, True, retry_after_s))
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -22,7 +22,6 @@
     revision: Count  # newest revision of published data that it has applied
     is_stale: bool = False  # its copy of the published data may be out of date
     link_mbps: Number = 0.0  # bandwidth of the link of its VM
-    load_permille: Count = 0  # slots of each shard that its searches occupy, times 1000
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/hyssopproxy/engine/membership.py
+++ b/hyssopproxy/engine/membership.py
@@ -12,7 +12,6 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
-from hyssopproxy.engine import overload
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import state as states
 
@@ -22,7 +21,6 @@
 REMOTE_SENDERS = 4.0  # daemons of a failure domain that send to others in a round, on average
 RECORDS = 24  # member records in a datagram; keeps it under 1,400 bytes
 MEMBER_EXPIRY_S = 60.0  # a daemon counts as a member for this long after its last heartbeat
-MAX_LOAD = 1000.0  # slots; more than the searches of one daemon can occupy
 MAX_MEMBERS = 4096  # more than any fleet has; bounds the memory that forged messages take
 LIVE_MAX_AGE_S = 4.0  # a daemon counts as live for this long after its last heartbeat
 # A daemon whose last synchronisation is older counts as stale; others do not choose it as reader.
@@ -116,7 +114,6 @@
         revision=record.revision,
         is_stale=record.is_stale,
         link_mbps=record.link_mbps,
-        load=min(record.load_permille / 1000, MAX_LOAD),
         last_seen_at=now,
     )
 
@@ -190,7 +187,6 @@
         revision=state.sync.revision if is_complete else 0,
         is_stale=not state.sync.is_current(SYNC_MAX_AGE_S, now),
         link_mbps=state.settings.link_mbps,
-        load_permille=round(overload.own_load(state, now) * 1000),
     )
     records = tuple(
         datagram.MemberRecord(
@@ -202,7 +198,6 @@
             member.revision,
             member.is_stale,
             member.link_mbps,
-            round(member.load * 1000),
         )
         for member in _choose_records(state, count)
     )
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -7,7 +7,6 @@
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
-from hyssopproxy.engine import overload
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import state as states
@@ -16,8 +15,6 @@
 REMOVED_GRACE_S = 2.0  # entries that expired in a store outage are republished within this time
 DRAIN_GRACE_S = 1.0  # how long a draining target is still picked if no better one is eligible
 
-MIN_CAPACITY = 0.01  # slots; a target is still picked if the others are not eligible
-
 _HEALTHY, _SHEDDING, _LEAVING, _BACKED_OFF = range(4)  # tiers in order of preference
 
 
@@ -31,9 +28,7 @@
     """Return the best target for a part, or None if no target is eligible.
 
     A target is picked only if none of a better tier is eligible, and a hedge never goes to a target
-    that is draining or was removed. Targets already tried for the part are not eligible. If all
-    targets of the pool are overloaded, one is picked at random in proportion to its capacity, as
-    the daemons would otherwise all prefer the same one.
+    that is draining or was removed. Targets already tried for the part are not eligible.
     """
     best = None
     best_rank: tuple = ()
@@ -41,10 +36,7 @@
         tier = _tier(state, part, target, now)
         if tier is None or (is_hedge and tier == _LEAVING):
             continue
-        if part.is_scarce:
-            cost = state.rng.expovariate(max(MIN_CAPACITY, overload.capacity(state, target, now)))
-        else:
-            cost = _cost_s(state, target, typical_latency_s, now)
+        cost = _cost_s(state, target, typical_latency_s, now)
         rank = (tier, cost, target.last_pick, target.tie_breaker)
         if best is None or rank < best_rank:
             best, best_rank = target, rank
--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -1,7 +1,6 @@
 """Interchangeable policies: an abstract base class for each decision, with simple baselines."""
 
 import abc
-import random
 import typing
 
 import attrs
@@ -12,7 +11,6 @@
 OVERDUE_COST_S = 0.15  # expected remaining pause once a target's oldest request is overdue
 LOAD_WEIGHT = 1.0  # a target whose slots are all in use by this daemon takes twice as long
 FAILURE_COST_S = 0.25  # expected time lost when a target sheds or fails a request
-ROUNDING = 1e-9  # tolerance of sums of shares
 MIN_HEDGE_DELAY_S = 0.008  # a hedge sooner than this cannot beat the first request
 
 
@@ -157,104 +155,9 @@
         return is_past_objective and coverage >= least_coverage
 
 
-@attrs.frozen
-class Plan:
-    """What to do with a search, some of whose pools cannot serve all searches."""
-
-    is_refused: bool = False
-    scarce: frozenset[str] = frozenset()  # pools that cannot serve all searches
-    left_out: frozenset[str] = frozenset()  # those of them that it is not sent to
-
-
-ADMIT_ALL = Plan()
-
-
-class AdmissionPolicy(abc.ABC):
-    """Decides which shards a search leaves out, or that it is refused, under overload."""
-
-    #: Short name in settings.
-    name = ""
-
-    @abc.abstractmethod
-    def plan(self, shares: dict[str, float], may_miss: int, rng: random.Random) -> Plan:
-        """Return what to do with a search.
-
-        `shares` has the pools that cannot serve all searches, with the share that each can serve;
-        `may_miss` is the number of shards that an answer may lack.
-        """
-
-
-class AdmitAll(AdmissionPolicy):
-    """Baseline: sends every search to all of its shards."""
-
-    name = "all"
-
-    def plan(self, shares: dict[str, float], may_miss: int, rng: random.Random) -> Plan:
-        return ADMIT_ALL
-
-
-class ByCapacity(AdmissionPolicy):
-    """Sends each search to as many scarce pools as it needs, and refuses those beyond capacity.
-
-    A search that is admitted gets a random set of scarce pools, each in proportion to its share.
-    Deciding for each pool by itself would leave most searches with too few shards, and the capacity
-    of the others would be wasted on them. A refusal costs its caller nothing but the time to ask.
-    """
-
-    name = "capacity"
-
-    def plan(self, shares: dict[str, float], may_miss: int, rng: random.Random) -> Plan:
-        needed = len(shares) - may_miss
-        admitted = 1.0
-        if needed > sum(shares.values()):
-            admitted = _admitted_share(shares, needed)
-            if rng.random() >= admitted:
-                return Plan(is_refused=True)
-        portions = {pool: share / admitted for pool, share in shares.items()}
-        chosen = _sample(portions, rng.random())
-        return Plan(scarce=frozenset(shares), left_out=frozenset(shares) - chosen)
-
-
-def _admitted_share(shares: dict[str, float], needed: int) -> float:
-    """Return the share of searches for which `needed` of the pools have capacity.
-
-    A pool whose share is higher than that serves all admitted searches, and no more.
-
-    >>> _admitted_share({"a": 0.9, "b": 0.3}, needed=2)
-    0.3
-    """
-    ascending = sorted(shares.values())
-    while needed > 0 and ascending:
-        admitted = sum(ascending) / needed
-        if ascending[-1] <= admitted:
-            return admitted
-        ascending.pop()
-        needed -= 1
-    return 0.0 if needed else 1.0
-
-
-def _sample(shares: dict[str, float], start: float) -> set[str]:
-    """Return a random sample in which each pool is included with the probability of its share.
-
-    Systematic sampling: the size of the sample is the sum of the shares, rounded up or down.
-
-    >>> sorted(_sample({"a": 0.5, "b": 0.5, "c": 1.0}, start=0.7))
-    ['a', 'c']
-    """
-    chosen = set()
-    position = start
-    for pool, share in shares.items():
-        position += min(1.0, share)
-        if position >= 1.0 - ROUNDING:
-            chosen.add(pool)
-            position -= 1.0
-    return chosen
-
-
 PLACEMENTS = {policy.name: policy for policy in (Random, Nearest, ExpectedLatency)}
 HEDGES = {policy.name: policy for policy in (NoHedge, Quantile)}
 WAITS = {policy.name: policy for policy in (WaitAll, AnswerAtObjective)}
-ADMISSIONS = {policy.name: policy for policy in (AdmitAll, ByCapacity)}
 
 
 @attrs.frozen
@@ -264,24 +167,17 @@
     placement: PlacementPolicy
     hedge: HedgePolicy
     wait: WaitPolicy
-    admission: AdmissionPolicy
 
 
 def from_names(names: typing.Mapping[str, str]) -> Policies:
     """Return the policies with the given names; raise `problem.UserError` for unknown names."""
     chosen = {}
     errors = []
-    kinds = {
-        "placement": PLACEMENTS,
-        "hedge": HEDGES,
-        "wait": WAITS,
-        "admission": ADMISSIONS,
-    }
+    kinds = {"placement": PLACEMENTS, "hedge": HEDGES, "wait": WAITS}
     defaults = {
         "placement": ExpectedLatency.name,
         "hedge": Quantile.name,
         "wait": AnswerAtObjective.name,
-        "admission": ByCapacity.name,
     }
     for kind, classes in kinds.items():
         name = names.get(kind, defaults[kind])
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -12,9 +12,7 @@
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
-from hyssopproxy.engine import overload
 from hyssopproxy.engine import placement
-from hyssopproxy.engine import policy
 from hyssopproxy.engine import routing
 from hyssopproxy.engine import state as states
 
@@ -52,22 +50,10 @@
     if not _can_reach_least_coverage(state, query, now):
         answer.refuse_new(state, arrived, Refusal.COVERAGE_TOO_LOW, now, out)
         return
-    plan = policy.ADMIT_ALL
-    if route.is_search:
-        overload.record_search(state, _typical_latency_s(state, route), now)
-        plan = overload.plan(state, query, now)
-    if plan.is_refused:
-        scarce = overload.describe(state, query, now)
-        answer.refuse_new(state, arrived, Refusal.OVERLOADED, now, out, **scarce)
-        return
     state.queries[query.number] = query
     for part in query.parts:
         _record_first_attempt(state, part.pool, now)
-        part.is_scarce = part.pool in plan.scarce
-        if part.pool in plan.left_out:
-            _give_up(part, "overloaded")
-        else:
-            _send_or_wait(state, part, now, out)
+        _send_or_wait(state, part, now, out)
     _finish_or_schedule(state, query, now, out)
 
 
@@ -336,9 +322,7 @@
 
 
 def _hedge_if_due(state: states.State, part: states.Part, now: float, out: list) -> None:
-    if part.is_scarce or not part.attempts:
-        return
-    if any(attempt.hedge_at > now for attempt in part.attempts):
+    if not part.attempts or any(attempt.hedge_at > now for attempt in part.attempts):
         return
     route = part.query.route
     if not route.is_idempotent or part.runs >= route.max_attempts:
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -92,7 +92,6 @@
     tried: set[str] = attrs.field(factory=set)  # ids of the targets that it was sent to
     reply: typing.Any = None
     failure: typing.Any = None  # error reply of a target, delivered if no attempt succeeds
-    is_scarce: bool = False  # its pool cannot serve all searches
     has_sent: bool = False
     may_have_arrived: bool = False
     waiting_since: float | None = None  # since when no target or retry budget has been available
@@ -156,7 +155,6 @@
     revision: int
     is_stale: bool  # its copy of the published data may be out of date
     link_mbps: float  # bandwidth of the link of its VM
-    load: float  # slots of each shard that its searches occupy
     last_seen_at: float  # when its latest heartbeat arrived, directly or relayed
 
 
@@ -224,8 +222,6 @@
     suspected_domains: dict[str, float | None] = attrs.field(factory=dict)
     isolated_since: float | None = None  # since when it has been in a minority partition
     route_statistics: dict[str, RouteStatistics] = attrs.field(factory=dict)
-    search_work_s: float = 0.0  # work of this daemon's searches at each shard, decayed by age
-    search_work_at: float = NEVER
     budgets: dict[str, budget.Budget] = attrs.field(factory=dict)  # by pool
     split_deficits: dict[str, dict[str, float]] = attrs.field(factory=dict)  # by route and pool
     queries: dict[int, Query] = attrs.field(factory=dict)
