Review: the stand-ins use free ports and loopback addresses of their own per run

Cause: two runs at once could meet on one address. Change: ports are looked up, addresses follow from the process id.

--- a/review/standin.py
+++ b/review/standin.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -22,8 +23,8 @@
 MAX_WATCH_S = 30.0
 PAGE_ITEMS = 50
 START_TIMEOUT_S = 30.0
-_PREFIX = f"127.{65 + os.getpid() // 62500 % 60}.{os.getpid() // 250 % 250}"
-_hosts = itertools.count(os.getpid() % 100 + 1)
+_PREFIX = f"127.{65 + os.getpid() // 250 % 60}.{os.getpid() % 250}"
+_hosts = itertools.count(1)
 
 
 def free_host():
@@ -31,6 +32,22 @@
     return f"{_PREFIX}.{next(_hosts) % 250 + 1}"
 
 
+def free_ports(count):
+    """Return ports that no program uses, the same for all daemons, below the ephemeral ones."""
+    ports = []
+    for port in range(20000 + os.getpid() % 8000, 32000):
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError("no free ports")
+
+
 class Record:
     """Writes what was sent, answered and run to a file, with the time since the start."""
 
@@ -299,7 +316,7 @@
             "HOME": os.environ.get("HOME", ""),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "HYSSOPPROXY_NODE_FILE": str(self.path),
-            "HYSSOPPROXY_METRICS_PORT": "9464",
+            "HYSSOPPROXY_METRICS_PORT": str(METRICS_PORT),
         }
         log = open(pathlib.Path(self._deployment.folder, f"{self.host}.log"), "ab")  # noqa: SIM115
         self.process = await asyncio.create_subprocess_exec(
@@ -317,7 +334,7 @@
         return False
 
 
-FRONT_PORT, READY_PORT, CONTROL_PORT = 8226, 8227, 8224
+FRONT_PORT, READY_PORT, CONTROL_PORT, METRICS_PORT, PEER_PORT = free_ports(5)
 
 SETTINGS = """\
 node = "front-{zone}-{host}"
@@ -327,7 +344,7 @@
 ip = "{host}"
 zone = "{zone}"
 region = "r"
-internalPorts = [7740,7755]
+internalPorts = [{peer},{peer}]
 seeds = {seeds}
 bootstrap = true
 lossCounts = false
@@ -340,9 +357,9 @@
 b = "r"
 c = "r"
 [listen]
-front = "{host}:8226"
-readinessAddr = "{host}:8227"
-control = "{host}:8224"
+front = "{host}:{front}"
+readinessAddr = "{host}:{ready}"
+control = "{host}:{control}"
 [limits]
 cpuShare = 0.537
 cores = 2
@@ -436,7 +453,14 @@
         for daemon in self.daemons:
             daemon.path.write_text(
                 SETTINGS.format(
-                    host=daemon.host, zone=daemon.zone, seeds=seeds, store=self.store.address
+                    host=daemon.host,
+                    zone=daemon.zone,
+                    seeds=seeds,
+                    store=self.store.address,
+                    front=FRONT_PORT,
+                    ready=READY_PORT,
+                    control=CONTROL_PORT,
+                    peer=PEER_PORT,
                 )
             )
             await daemon.start()
