Logs tell a start, its waits, each signal and the end of a process; memory and descriptors in metrics

A process that a signal, the memory limit or an exception had ended in its start left the same empty log.

Change: the lines starting (pid, versions, machine), waiting (reason), signal (name) and ended (status, error, peak of memory, open descriptors); gauges of the latter on /metrics. A process without the line ended was ended by a signal. The text about settings that aren't valid yet is now the line waiting.

The test of a stop asked for readiness as the first line and stopped as the last; it now asks for starting before and ended with status 0 after them, and for the one line signal, so it is stricter.

--- a/bench/site.py
+++ b/bench/site.py
@@ -57,6 +57,7 @@
     settings_path: str
     process: asyncio.subprocess.Process | None = None
     log: list[dict] = attrs.field(factory=list)
+    environ: dict[str, str] = attrs.field(factory=dict)  # variables of this daemon alone
 
     def signal(self, number: int) -> None:
         self.process.send_signal(number)
@@ -186,16 +187,17 @@
             file.write(text)
         os.replace(new_path, daemon.settings_path)
 
-    async def start_daemon(self, daemon: Daemon) -> None:
+    async def start_daemon(self, daemon: Daemon, *arguments: str) -> None:
+        """Start a daemon's process, by default with the arguments that run the module."""
         environ = {
             **os.environ,
             "HYSSOPPROXY_NODE_FILE": daemon.settings_path,
             "HYSSOPPROXY_METRICS_PORT": str(self.ports["metrics"]),
+            **daemon.environ,
         }
         daemon.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "hyssopproxy.platform",
+            *(arguments or ("-m", "hyssopproxy.platform")),
             env=environ,
             stdout=asyncio.subprocess.PIPE,
             stderr=None,
--- a/hyssopproxy/metric.py
+++ b/hyssopproxy/metric.py
@@ -24,12 +24,20 @@
             self._histograms[name] = histogram
         histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
 
-    def render(self, counters: typing.Mapping[str, int]) -> str:
-        """Return all metrics in the Prometheus text format."""
+    def render(
+        self,
+        counters: typing.Mapping[str, int],
+        gauges: typing.Mapping[str, int | None] | None = None,
+    ) -> str:
+        """Return all metrics in the Prometheus text format; leave out gauges without a value."""
         lines = []
         for name in sorted(counters):
             lines.append(f"# TYPE hyssopproxy_{name}_total counter")
             lines.append(f"hyssopproxy_{name}_total {counters[name]}")
+        for name, value in sorted((gauges or {}).items()):
+            if value is not None:
+                lines.append(f"# TYPE hyssopproxy_{name} gauge")
+                lines.append(f"hyssopproxy_{name} {value}")
         for name, histogram in sorted(self._histograms.items()):
             metric = f"hyssopproxy_{name}_seconds"
             lines.append(f"# TYPE {metric} summary")
--- a/hyssopproxy/platform/operator.py
+++ b/hyssopproxy/platform/operator.py
@@ -2,6 +2,9 @@
 
 import abc
 
+import attrs
+
+from hyssopproxy import usage
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.platform import runtime as runtimes
 from hyssopproxy.transport import clock
@@ -42,7 +45,8 @@
     path = b"/metrics"
 
     def render(self) -> message.Response:
-        body = self._runtime.metrics.render(self._collect_counters()).encode()
+        gauges = attrs.asdict(usage.read())
+        body = self._runtime.metrics.render(self._collect_counters(), gauges).encode()
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         return message.Response(200, headers, body)
 
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -9,8 +9,13 @@
 import sys
 import time
 import traceback
+import typing
 
+import attrs
+
+import hyssopproxy
 from hyssopproxy import problem
+from hyssopproxy import usage
 from hyssopproxy.engine import event
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import state as states
@@ -30,18 +35,44 @@
 
 
 def main() -> None:
-    """Load the settings and run the daemon until it stops."""
+    """Run the daemon until it stops, and log its start and its end."""
+    logger = journal.Logger("")
     path = nodefile.path(os.environ)
+    fields = {
+        "pid": os.getpid(),
+        "version": hyssopproxy.__version__,
+        "python": ".".join(map(str, sys.version_info[:3])),
+        "machine": os.uname().machine,
+        "settings": path,
+    }
+    logger.write("starting", fields, clock.read(), is_urgent=True)
+    try:
+        status = run(path, logger)
+    except BaseException as error:
+        _log_end(logger, 1, repr(error), traceback.format_exception(error)[-3:])
+        raise
+    _log_end(logger, status)
+    sys.exit(status)
+
+
+def _log_end(logger: journal.Logger, status: int, error: str = "", where: typing.Any = ()) -> None:
+    fields = {"status": status, "error": error, "where": where, **attrs.asdict(usage.read())}
+    logger.write("ended", fields, clock.read(), is_urgent=True)
+
+
+def run(path: str, logger: journal.Logger) -> int:
+    """Load the settings and run the daemon until it stops; return the exit status."""
     try:
         settings = environment.parse(os.environ)
-        node = _load_when_written(path)
+        node = _load_when_written(path, logger)
     except problem.UserError as error:
         print(f"hyssopproxy: the settings are refused:\n{error}", file=sys.stderr)
-        raise SystemExit(2) from None
-    sys.exit(asyncio.run(serve(node, settings, path)))
+        return 2
+    logger.set_node(node.name)
+    return asyncio.run(serve(node, settings, path, logger))
 
 
-def _load_when_written(path: str) -> nodefile.NodeFile:
+def _load_when_written(path: str, logger: journal.Logger) -> nodefile.NodeFile:
     """Load the settings file; wait a while for one that is still being written."""
     deadline = clock.read() + SETTINGS_WAIT_S
     is_waiting = False
@@ -52,7 +83,7 @@
             if clock.read() >= deadline:
                 raise
             if not is_waiting:
-                print(f"hyssopproxy: waiting for valid settings:\n{error}", file=sys.stderr)
+                logger.write("waiting", {"reason": str(error)}, clock.read(), is_urgent=True)
             is_waiting = True
             time.sleep(SETTINGS_RETRY_S)
 
@@ -68,9 +99,13 @@
     )
 
 
-async def serve(node: nodefile.NodeFile, settings: environment.Environment, path: str) -> int:
+async def serve(
+    node: nodefile.NodeFile,
+    settings: environment.Environment,
+    path: str,
+    logger: journal.Logger,
+) -> int:
     """Serve until SIGTERM; return the exit status."""
-    logger = journal.Logger(node.name)
     state = make_state(node, settings.policies)
     runtime = runtimes.Runtime(state, logger, node.peer_port, settings.limits)
     listeners = [
@@ -92,8 +127,11 @@
     watcher = SettingsWatcher(runtime, path)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(functools.partial(_log_error, logger))
-    loop.add_signal_handler(signal.SIGTERM, runtime.post, event.StopRequested())
-    loop.add_signal_handler(signal.SIGHUP, watcher.reload)
+    for number, handle in (
+        (signal.SIGTERM, functools.partial(runtime.post, event.StopRequested())),
+        (signal.SIGHUP, watcher.reload),
+    ):
+        loop.add_signal_handler(number, _handle_signal, logger, number, handle)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
     watcher.poll()
@@ -102,6 +140,13 @@
     return 0
 
 
+def _handle_signal(
+    logger: journal.Logger, number: signal.Signals, handle: typing.Callable[[], None]
+) -> None:
+    logger.write("signal", {"signal": number.name}, clock.read(), is_urgent=True)
+    handle()
+
+
 async def _drain(runtime: runtimes.Runtime) -> None:
     """Wait until callers have received their responses, at most until shortly before SIGKILL."""
     state = runtime.state
--- a/hyssopproxy/transport/journal.py
+++ b/hyssopproxy/transport/journal.py
@@ -60,8 +60,12 @@
                 structlog.processors.JSONRenderer(serializer=_encode),
             ],
             wrapper_class=structlog.BoundLogger,
-            vm=node,
         )
+        self.set_node(node)
+
+    def set_node(self, node: str) -> None:
+        """Set the name of the VM, which stands in every line."""
+        self._log = self._log.bind(vm=node)
 
     @property
     def dropped(self) -> int:
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+import msgspec
 import pytest
 
 from bench import site as sites
@@ -348,7 +349,9 @@
         assert (await slow).status == 200
         assert await daemon.wait() == 0
         names = [line["event"] for line in daemon.log]
-        assert names[0] == "readiness" and "started" in names and names[-1] == "stopped"
+        assert names[0] == "starting" and names[1] == "readiness" and "started" in names
+        assert names[-2:] == ["stopped", "ended"] and daemon.log[-1]["status"] == 0
+        assert [line["signal"] for line in daemon.log if line["event"] == "signal"] == ["SIGTERM"]
 
     sites.run_scenario(scenario)
 
@@ -399,11 +402,15 @@
             "-m",
             "hyssopproxy.platform",
             env={**sites.os.environ, "HYSSOPPROXY_NODE_FILE": str(path)},
+            stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
-        _, errors = await process.communicate()
+        output, errors = await process.communicate()
         assert process.returncode == 2
         assert b"listen.front" in errors and b"give" in errors
+        lines = [msgspec.json.decode(line) for line in output.splitlines()]
+        assert [line["event"] for line in lines] == ["starting", "waiting", "ended"]
+        assert lines[-1]["status"] == 2 and lines[-1]["peak_memory_bytes"] > 0
 
     asyncio.run(run())
 
