Signals are deferred from a daemon's first statement to its last, and a signal ends no process

Cause: while no handler is installed the default action applies. SIGHUP was set to be ignored once __main__ ran, so it killed before that and was lost after it; SIGTERM killed until the loop had its handler, some 400 ms without bytecode caches; asyncio puts back the default action when it closes the loop. Class: a process that is steered by signals before it can take them and after it no longer can.

Why it works: a blocked signal stays pending in the kernel and has no default action. What remains are the first milliseconds of the interpreter itself, before any statement of the program.

--- a/hyssopproxy/platform/__main__.py
+++ b/hyssopproxy/platform/__main__.py
@@ -1,11 +1,10 @@
 """Runs the daemon on the hosting platform: `python3 -m hyssopproxy.platform`."""
 
-import signal
 import sys
 
-# SIGHUP makes a running daemon reload its settings. Until that handler is installed, ignore the
-# signal, because its default action ends the process.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from hyssopproxy import signals
+
+signals.defer()
 
 # The platform's protocols use no TLS and asyncio works without the ssl module. Not importing it
 # saves 4 MB per process.
@@ -13,5 +12,11 @@
 
 from hyssopproxy.platform import service  # noqa: E402
 
-if __name__ == "__main__":
+
+def main() -> None:
+    """Run the daemon until it stops."""
     service.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -15,6 +15,7 @@
 
 import hyssopproxy
 from hyssopproxy import problem
+from hyssopproxy import signals
 from hyssopproxy import usage
 from hyssopproxy.engine import event
 from hyssopproxy.engine import policy
@@ -68,15 +69,20 @@
     except problem.UserError as error:
         print(f"hyssopproxy: the settings are refused:\n{error}", file=sys.stderr)
         return 2
+    if node is None:
+        return 0
     logger.set_node(node.name)
     return asyncio.run(serve(node, settings, path, logger))
 
 
-def _load_when_written(path: str, logger: journal.Logger) -> nodefile.NodeFile:
-    """Load the settings file; wait a while for one that is still being written."""
+def _load_when_written(path: str, logger: journal.Logger) -> nodefile.NodeFile | None:
+    """Load the settings file; wait a while for one that is still being written.
+
+    Return None if the process is to stop meanwhile.
+    """
     deadline = clock.read() + SETTINGS_WAIT_S
     is_waiting = False
-    while True:
+    while not signals.is_stop_pending():
         try:
             return nodefile.load(path)
         except problem.UserError as error:
@@ -86,6 +92,7 @@
                 logger.write("waiting", {"reason": str(error)}, clock.read(), is_urgent=True)
             is_waiting = True
             time.sleep(SETTINGS_RETRY_S)
+    return None
 
 
 def make_state(node: nodefile.NodeFile, policies: policy.Policies) -> states.State:
@@ -132,11 +139,13 @@
         (signal.SIGHUP, watcher.reload),
     ):
         loop.add_signal_handler(number, _handle_signal, logger, number, handle)
+    signals.deliver()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
     watcher.poll()
     await runtime.ended.wait()
     await _drain(runtime)
+    signals.defer()  # the event loop puts back the default actions when it is closed
     return 0
 
 
