A taken address delays a start and does not end it; a taken metrics port does not keep a daemon from serving

Cause: any error of bind ended the start. Class: a condition that passes by itself was taken for an error of the settings.

Change: sockets are opened again until the predecessor's grace and a margin are over; a SIGTERM meanwhile is a clean stop; other errors still end the start at once with status 2. The metrics are opened beside serving and tried again each second. The front is opened after the control port, as before, and readiness last, so that the balancer sends nobody to a daemon whose front isn't open.

--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -1,6 +1,7 @@
 """Runs the daemon on the hosting platform: settings, start, signals and shutdown."""
 
 import asyncio
+import errno
 import functools
 import gc
 import os
@@ -30,10 +31,15 @@
 
 SETTINGS_WAIT_S = 2.0  # how long a start waits for a file that is missing or invalid
 SETTINGS_RETRY_S = 0.05
+ADDRESS_RETRY_S = 0.05
+ADDRESS_MARGIN_S = 2.0  # added to the grace of a predecessor that still holds an address
+METRICS_RETRY_S = 1.0
 SETTINGS_POLL_S = 1.0  # poll interval of the settings file, which may change without a SIGHUP
 EXIT_MARGIN_S = 0.2  # time to end the process before SIGKILL
 GC_THRESHOLD = 20_000  # allocations between collections; fewer collections cut tail latency
 
+_TEMPORARY_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+
 
 def main() -> None:
     """Run the daemon until it stops, and log its start and its end."""
@@ -115,21 +121,25 @@
     """Serve until SIGTERM; return the exit status."""
     state = make_state(node, settings.policies)
     runtime = runtimes.Runtime(state, logger, node.peer_port, settings.limits)
-    listeners = [
+    servers = [
         (runtime.front, node.front.host, node.front.port),
         (server.Server(operator.Readiness(runtime)), node.readiness.host, node.readiness.port),
-        (server.Server(operator.Metrics(runtime)), node.engine.ip, settings.metrics_port),
     ]
     if node.control is not None:
         control = server.Server(runtime.cache_handler)
-        listeners.append((control, node.control.host, node.control.port))
+        servers.insert(0, (control, node.control.host, node.control.port))
+    openers = [runtime.start]
+    openers += [functools.partial(listener.start, host, port) for listener, host, port in servers]
     try:
-        for listener, host, port in listeners:
-            await listener.start(host, port)
-        await runtime.start()
+        is_stopped = not await _open_all(openers, node.engine.stop_grace_s, logger)
     except OSError as error:
         print(f"hyssopproxy: cannot listen on an address: {error}", file=sys.stderr)
         return 2
+    if is_stopped:
+        return 0
+    metrics = server.Server(operator.Metrics(runtime))
+    open_metrics = functools.partial(metrics.start, node.engine.ip, settings.metrics_port)
+    metrics_task = asyncio.create_task(_open_metrics(open_metrics, logger))
     logger.write("started", {"settings": path}, clock.read(), is_urgent=True)
     watcher = SettingsWatcher(runtime, path)
     loop = asyncio.get_running_loop()
@@ -144,11 +154,55 @@
     gc.set_threshold(GC_THRESHOLD, 20, 50)
     watcher.poll()
     await runtime.ended.wait()
+    metrics_task.cancel()
     await _drain(runtime)
     signals.defer()  # the event loop puts back the default actions when it is closed
     return 0
 
 
+async def _open_all(
+    openers: typing.Iterable[typing.Callable[[], typing.Awaitable]],
+    stop_grace_s: float,
+    logger: journal.Logger,
+) -> bool:
+    """Open all sockets; return False if the process is to stop meanwhile.
+
+    Wait for addresses that a predecessor still holds while it stops, or that the VM does not have
+    yet; raise OSError once no predecessor can be left, or at once for any other error.
+    """
+    deadline = clock.read() + stop_grace_s + ADDRESS_MARGIN_S
+    for open_socket in openers:
+        is_waiting = False
+        while not signals.is_stop_pending():
+            try:
+                await open_socket()
+                break
+            except OSError as error:
+                if error.errno not in _TEMPORARY_ERRORS or clock.read() >= deadline:
+                    raise
+                if not is_waiting:
+                    logger.write("waiting", {"reason": str(error)}, clock.read(), is_urgent=True)
+            is_waiting = True
+            await asyncio.sleep(ADDRESS_RETRY_S)
+    return not signals.is_stop_pending()
+
+
+async def _open_metrics(
+    open_socket: typing.Callable[[], typing.Awaitable], logger: journal.Logger
+) -> None:
+    """Open the socket of the metrics; requests are served without it until its port is free."""
+    is_logged = False
+    while True:
+        try:
+            return await open_socket()
+        except OSError as error:
+            if not is_logged:
+                fields = {"reason": str(error)}
+                logger.write("metrics_unavailable", fields, clock.read(), is_urgent=True)
+            is_logged = True
+        await asyncio.sleep(METRICS_RETRY_S)
+
+
 def _handle_signal(
     logger: journal.Logger, number: signal.Signals, handle: typing.Callable[[], None]
 ) -> None:
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -316,12 +316,17 @@
     async def start(self, host: str, port: int) -> None:
         """Start listening; raise OSError if the address cannot be bound."""
         loop = asyncio.get_running_loop()
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, port))
-        self._server = await loop.create_server(
-            self._make_connection, sock=self._listener, backlog=BACKLOG
-        )
+        listener = socket.socket()
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((host, port))
+            self._server = await loop.create_server(
+                self._make_connection, sock=listener, backlog=BACKLOG
+            )
+        except OSError:
+            listener.close()
+            raise
+        self._listener = listener
         self._check_timeouts()
 
     @property
--- /dev/null
+++ b/tests/platform/test_start.py
@@ -0,0 +1,95 @@
+"""Daemons that start while something that they need is taken or not there yet."""
+
+import signal
+import socket
+
+from bench import site as sites
+
+
+def events_of(daemon):
+    return [line["event"] for line in daemon.log]
+
+
+def test_daemon_waits_for_addresses_that_its_predecessor_still_holds():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        predecessor = daemon.process
+        daemon.signal(signal.SIGTERM)
+        await site.start_daemon(daemon)
+        await sites.wait_for(lambda: "waiting" in events_of(daemon), "the wait for an address")
+        assert await predecessor.wait() == 0
+        await site.wait_ready(daemon)
+        assert (await site.get(daemon)).status == 200
+
+    sites.run_scenario(scenario)
+
+
+def test_daemon_that_waits_for_an_address_can_be_stopped():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        predecessor = daemon.process
+        await site.start_daemon(daemon)
+        await sites.wait_for(lambda: "waiting" in events_of(daemon), "the wait for an address")
+        daemon.signal(signal.SIGTERM)
+        assert await daemon.wait() == 0
+        daemon.process = predecessor
+
+    sites.run_scenario(scenario)
+
+
+def test_address_that_stays_taken_ends_the_start_with_status_2():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        predecessor = daemon.process
+        await site.start_daemon(daemon)
+        assert await daemon.wait() == 2
+        assert events_of(daemon)[-1] == "ended"
+        daemon.process = predecessor
+        assert (await site.get(daemon)).status == 200
+
+    sites.run_scenario(scenario)
+
+
+def test_taken_metrics_port_does_not_keep_a_daemon_from_serving():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        daemon.signal(signal.SIGKILL)
+        await daemon.wait()
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind((daemon.host, site.ports["metrics"]))
+            other.listen()
+            await site.start_daemon(daemon)
+            await site.wait_ready(daemon)
+            assert (await site.get(daemon)).status == 200
+            assert "metrics_unavailable" in events_of(daemon)
+
+        async def has_metrics():
+            try:
+                return await site.metrics(daemon)
+            except OSError:
+                return {}
+
+        await sites.wait_for(has_metrics, "the metrics once their port is free")
+
+    sites.run_scenario(scenario)
+
+
+def test_daemons_of_a_vm_that_get_their_address_late_wait_for_it():
+    async def scenario(site):
+        # An address outside the loopback network stands for one that the VM does not have yet.
+        daemon = site.daemons[0]
+        daemon.signal(signal.SIGKILL)
+        await daemon.wait()
+        with open(daemon.settings_path) as file:
+            valid = file.read()
+        with open(daemon.settings_path, "w") as file:
+            file.write(valid.replace(daemon.host, "192.0.2.1"))
+        daemon.log.clear()
+        await site.start_daemon(daemon)
+        await sites.wait_for(lambda: "waiting" in events_of(daemon), "the wait for an address")
+        assert daemon.process.returncode is None
+        daemon.signal(signal.SIGTERM)
+        assert await daemon.wait() == 0
+
+    sites.run_scenario(scenario)
