hyssopproxyd defers signals while it starts and after its loop is closed

Operators would see: hyssopproxyd ended with -15 or -2 by a stop during its start of a second, with -1 by SIGHUP at any time, and with -15 or -1 by a signal at its end.

SIGHUP is logged and ignored: flags can't change.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -180,7 +180,7 @@
     def start_daemon(self, vm: VMSpec) -> None:
         """Start one daemon."""
         self.daemons[vm.name] = process.Process.start(
-            "hyssopproxy.daemon",
+            "hyssopproxy",
             *("--vm", vm.name),
             *("--failure-domain", vm.domain),
             *("--listen", vm.listen),
--- a/hyssopproxy/daemon.py
+++ b/hyssopproxy/daemon.py
@@ -17,6 +17,7 @@
 from hyssopproxy import runtime as runtimes
 from hyssopproxy import server
 from hyssopproxy import settings as settings_module
+from hyssopproxy import signals
 from hyssopproxy import state as states
 
 KEY_FLAG = "--peer-key"
@@ -146,11 +147,16 @@
         http_server.should_exit = True
     results = await asyncio.gather(*server_tasks, return_exceptions=True)
     await runtime.close()
+    signals.defer(signals.INTERACTIVE)  # the closed loop has no handlers left
     return 2 if any(isinstance(result, BaseException) for result in results) else 0
 
 
 def _watch_signals(runtime: runtimes.Runtime, servers: list[server.Server]) -> None:
-    """Stop gracefully on SIGTERM or SIGINT; exit at once on a second signal."""
+    """Stop gracefully on SIGTERM or SIGINT; exit at once on a second one of them.
+
+    SIGHUP is logged only, because flags and environment variables cannot change.
+    """
+    logger = structlog.get_logger()
 
     def handle() -> None:
         if runtime.state.stopping_at is not None:
@@ -160,6 +166,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, handle)
+    loop.add_signal_handler(signal.SIGHUP, logger.info, "signal_ignored")
+    signals.deliver(signals.INTERACTIVE)
 
 
 if __name__ == "__main__":
--- a/hyssopproxy/signals.py
+++ b/hyssopproxy/signals.py
@@ -10,6 +10,8 @@
 
 #: Signals by which a hosting platform steers a daemon.
 CONTROL = frozenset({signal.SIGHUP, signal.SIGTERM})
+#: The same, and the signal of a terminal's interrupt key.
+INTERACTIVE = CONTROL | {signal.SIGINT}
 
 
 def defer(numbers: typing.Iterable[signal.Signals] = CONTROL) -> None:
