Soak: signals come at any moment of a daemon's life, and every stop must end with status 0

Both exceptions are gone. Signals now come from the first statement of the program on, during the start, in series while it serves, and through the whole stop up to the exit; a stop must end with 0, and a daemon that has ended by itself at the end of a run is a violation. The checks are stricter; only the time before the first statement stays left out, in which no program can take a signal (trace: time until /proc/PID/status shows the mask, docs/incidents).

Daemons of the soak and the tests are started by start.py, as on the platform.

--- a/bench/site.py
+++ b/bench/site.py
@@ -21,6 +21,7 @@
 from hyssopproxy.transport import client
 from hyssopproxy.transport import message
 
+START_PATH = os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "start.py")
 WAIT_S = 30.0  # timeout of waits; long, so that tests do not fail on a busy machine
 _HOST_PREFIX = f"127.{64 + os.getpid() // 65536 % 64}.{os.getpid() // 256 % 256}"
 _host_numbers = itertools.count(os.getpid() % 200 + 1)
@@ -62,15 +63,20 @@
     def signal(self, number: int) -> None:
         self.process.send_signal(number)
 
-    def handles_sighup(self) -> bool:
-        """Return whether it is safe to send SIGHUP.
+    def send_if_running(self, number: int) -> None:
+        """Send a signal unless the process has ended."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
 
-        Until the daemon's first statement makes the process ignore SIGHUP, the signal ends it.
+    def takes_signals(self) -> bool:
+        """Return whether SIGHUP and SIGTERM are handled or deferred by now.
+
+        Until the daemon's first statement has run, both end the process.
         """
         with open(f"/proc/{self.process.pid}/status") as file:
             fields = dict(line.split(":", 1) for line in file)
-        handled_mask = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
-        return bool(handled_mask & 1 << signal.SIGHUP - 1)
+        mask = int(fields["SigBlk"], 16) | int(fields["SigCgt"], 16)
+        return all(mask & 1 << number - 1 for number in (signal.SIGHUP, signal.SIGTERM))
 
     async def wait(self) -> int:
         async with asyncio.timeout(WAIT_S):
@@ -188,7 +194,7 @@
         os.replace(new_path, daemon.settings_path)
 
     async def start_daemon(self, daemon: Daemon, *arguments: str) -> None:
-        """Start a daemon's process, by default with the arguments that run the module."""
+        """Start a daemon's process, by default as the deploy file says."""
         environ = {
             **os.environ,
             "HYSSOPPROXY_NODE_FILE": daemon.settings_path,
@@ -197,7 +203,7 @@
         }
         daemon.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            *(arguments or ("-m", "hyssopproxy.platform")),
+            *(arguments or (START_PATH,)),
             env=environ,
             stdout=asyncio.subprocess.PIPE,
             stderr=None,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -78,7 +78,13 @@
         return keep_alive
 
     async def _inject_faults(self) -> None:
-        daemon_faults = (self._kill, self._pause, self._stop, self._send_sighup)
+        daemon_faults = (
+            self._kill,
+            self._pause,
+            self._stop,
+            self._stop_while_starting,
+            self._send_sighups,
+        )
         injectors = [functools.partial(self._inject_daemon_fault, fault) for fault in daemon_faults]
         injectors += (
             self._inject_leaf_fault,
@@ -115,7 +121,7 @@
         daemon.signal(signal.SIGKILL)
         await daemon.wait()
         await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-        await self._site.start_daemon(daemon)
+        await self._start(daemon)
 
     async def _pause(self, daemon: sites.Daemon) -> None:
         self._record_fault(f"pause {daemon.host}")
@@ -125,16 +131,41 @@
 
     async def _stop(self, daemon: sites.Daemon) -> None:
         self._record_fault(f"stop {daemon.host}")
+        await self._wait_for_first_statement(daemon)
         daemon.signal(signal.SIGTERM)
+        if self._rng.random() < 0.5:  # settings may change during the stop, up to its last moment
+            while daemon.process.returncode is None:
+                daemon.send_if_running(signal.SIGHUP)
+                await asyncio.sleep(self._rng.uniform(0.0, 0.02))
         status = await daemon.wait()
-        if status not in (0, -signal.SIGTERM):  # -SIGTERM while the process is still starting
+        if status != 0:
             self._ledger.add_violation(f"{daemon.host}: stopped with exit status {status}")
+        await self._start(daemon)
+
+    async def _stop_while_starting(self, daemon: sites.Daemon) -> None:
+        self._record_fault(f"stop {daemon.host} while it starts")
+        daemon.signal(signal.SIGKILL)
+        await daemon.wait()
         await self._site.start_daemon(daemon)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.3))
+        await self._stop(daemon)
 
-    async def _send_sighup(self, daemon: sites.Daemon) -> None:
-        if daemon.handles_sighup():
-            self._record_fault(f"SIGHUP {daemon.host}")
+    async def _send_sighups(self, daemon: sites.Daemon) -> None:
+        self._record_fault(f"SIGHUP {daemon.host}")
+        await self._wait_for_first_statement(daemon)
+        for _ in range(self._rng.randrange(1, 4)):
             daemon.signal(signal.SIGHUP)
+            await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+
+    async def _start(self, daemon: sites.Daemon) -> None:
+        """Start a daemon; its settings may change meanwhile."""
+        await self._site.start_daemon(daemon)
+        if self._rng.random() < 0.5:
+            await self._send_sighups(daemon)
+
+    async def _wait_for_first_statement(self, daemon: sites.Daemon) -> None:
+        while not daemon.takes_signals():
+            await asyncio.sleep(0.001)
 
     async def _inject_leaf_fault(self) -> None:
         leaf = self._rng.choice(list(self._site.leaves.values()))
@@ -234,6 +265,9 @@
         run = SoakRun(site, rng, seconds)
         ledger = await run.run()
         for daemon in site.daemons:
+            if daemon.process.returncode is not None:
+                status = daemon.process.returncode
+                ledger.add_violation(f"{daemon.host}: ended by itself with status {status}")
             for line in daemon.log:
                 if line["event"] == "internal_error":
                     ledger.add_violation(f"{daemon.host}: {line}")
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -424,7 +424,7 @@
             daemon.signal(signal.SIGKILL)
             await daemon.wait()
             await site.start_daemon(daemon)
-            while not daemon.handles_sighup():
+            while not daemon.takes_signals():
                 await asyncio.sleep(0.001)
             for _ in range(40):
                 daemon.signal(signal.SIGHUP)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 SEEDS = (
     1,
     2,
-    100,  # SIGHUP during startup ended the process
+    100,  # SIGHUP during the start ended the process
 )
 
 
