--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,9 +1,16 @@
 """Daemons that start while something that they need is taken or not there yet."""
 
+import asyncio
+import errno
 import signal
 import socket
+import tomllib
+
+import pytest
 
 from bench import site as sites
+from hyssopproxy.platform import service
+from hyssopproxy.transport import journal
 
 
 def events_of(daemon):
@@ -93,3 +100,48 @@
         assert await daemon.wait() == 0
 
     sites.run_scenario(scenario)
+
+
+def open_all(failures, stop_grace_s):
+    """Open a socket that fails with the given errors first; return how often it was tried."""
+    tries = []
+
+    async def open_socket():
+        tries.append(1)
+        if len(tries) <= len(failures):
+            raise OSError(failures[len(tries) - 1], "failed")
+
+    assert asyncio.run(service._open_all([open_socket], stop_grace_s, journal.Logger("n", 2)))
+    return len(tries)
+
+
+def test_address_that_arrives_late_is_opened():
+    late = -service.ADDRESS_MARGIN_S  # no time is left for a predecessor
+    assert open_all([errno.EADDRNOTAVAIL] * 3, late) == 4
+
+
+def test_address_in_use_is_waited_for_while_a_predecessor_may_hold_it():
+    assert open_all([errno.EADDRINUSE] * 3, 6.0) == 4
+    with pytest.raises(OSError):
+        open_all([errno.EADDRINUSE], -service.ADDRESS_MARGIN_S)
+    with pytest.raises(OSError):
+        open_all([errno.EACCES], 6.0)
+
+
+@pytest.mark.parametrize("is_on_path", [True, False])
+def test_deploy_command_finds_its_dependencies(is_on_path):
+    """Guards against -S hiding packages that are installed beside the interpreter."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        with open("deploy/system.toml", "rb") as file:
+            command = tomllib.load(file)["roles"]["hyssopproxy"]["run"]
+        if is_on_path:
+            folders = filter(sites.os.path.isdir, sites.sys.path)
+            daemon.environ["PYTHONPATH"] = sites.os.pathsep.join(folders)
+        daemon.signal(signal.SIGKILL)
+        await daemon.wait()
+        await site.start_daemon(daemon, *command.split()[1:])
+        await site.wait_ready(daemon)
+
+    sites.run_scenario(scenario)
