A flood of SIGHUP does not lose a SIGTERM; an address that a VM does not have yet is waited for without limit

Cause: the loop's handlers queue each signal in a socket pair, and a full one loses the next. Change: signals.handle marks a signal and posts one call to the loop; what arrives before that call is merged into it.

An address that arrives later than a predecessor's grace ended the start; there is no predecessor to wait for in that case, so only SIGTERM ends the wait. Signals are deferred again also when serving ends with an exception.

--- a/hyssopproxy/daemon.py
+++ b/hyssopproxy/daemon.py
@@ -1,6 +1,7 @@
 """The daemon hyssopproxyd."""
 
 import asyncio
+import functools
 import gc
 import os
 import random
@@ -165,8 +166,8 @@
 
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, handle)
-    loop.add_signal_handler(signal.SIGHUP, logger.info, "signal_ignored")
+        signals.handle(loop, signal_number, handle)
+    signals.handle(loop, signal.SIGHUP, functools.partial(logger.info, "signal_ignored"))
     signals.deliver(signals.INTERACTIVE)
 
 
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -38,8 +38,6 @@
 EXIT_MARGIN_S = 0.2  # time to end the process before SIGKILL
 GC_THRESHOLD = 20_000  # allocations between collections; fewer collections cut tail latency
 
-_TEMPORARY_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
-
 
 def main() -> None:
     """Run the daemon until it stops, and log its start and its end."""
@@ -148,15 +146,17 @@
         (signal.SIGTERM, functools.partial(runtime.post, event.StopRequested())),
         (signal.SIGHUP, watcher.reload),
     ):
-        loop.add_signal_handler(number, _handle_signal, logger, number, handle)
+        signals.handle(loop, number, functools.partial(_handle_signal, logger, number, handle))
     signals.deliver()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
     watcher.poll()
-    await runtime.ended.wait()
-    metrics_task.cancel()
-    await _drain(runtime)
-    signals.defer()  # the event loop puts back the default actions when it is closed
+    try:
+        await runtime.ended.wait()
+        metrics_task.cancel()
+        await _drain(runtime)
+    finally:
+        signals.defer()  # a closed loop handles none
     return 0
 
 
@@ -165,10 +165,10 @@
     stop_grace_s: float,
     logger: journal.Logger,
 ) -> bool:
-    """Open all sockets; return False if the process is to stop meanwhile.
+    """Open all sockets; return False if the process is to stop meanwhile. Signals are deferred.
 
-    Wait for addresses that a predecessor still holds while it stops, or that the VM does not have
-    yet; raise OSError once no predecessor can be left, or at once for any other error.
+    Wait for an address that the VM does not have yet, and for one that a predecessor still holds
+    while it stops. Raise OSError once no predecessor can be left, or at once for any other error.
     """
     deadline = clock.read() + stop_grace_s + ADDRESS_MARGIN_S
     for open_socket in openers:
@@ -178,7 +178,8 @@
                 await open_socket()
                 break
             except OSError as error:
-                if error.errno not in _TEMPORARY_ERRORS or clock.read() >= deadline:
+                is_held = error.errno == errno.EADDRINUSE and clock.read() < deadline
+                if not is_held and error.errno != errno.EADDRNOTAVAIL:
                     raise
                 if not is_waiting:
                     logger.write("waiting", {"reason": str(error)}, clock.read(), is_urgent=True)
