No problem with the output ends or blocks a daemon, whatever a supervisor gives as its streams

Operators: "its processes ended by themselves", without logs.

Cause: with descriptor 1 closed, os.set_blocking raised OSError and the process ended with status 1 before its first line. A start that is refused printed its reason: a reader that has gone, a full disk or a read-only stream made `print` raise (status 1 in place of 2), and a full pipe on standard error blocked the process for good. Standard error was never made non-blocking, so that any text on it could block a serving daemon. A settings path that isn't UTF-8 ended the process at its first log line (UnicodeEncodeError).

--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -17,6 +17,7 @@
 import hyssopproxy
 from hyssopproxy import problem
 from hyssopproxy import signals
+from hyssopproxy import stream
 from hyssopproxy import usage
 from hyssopproxy.engine import event
 from hyssopproxy.engine import policy
@@ -43,6 +44,7 @@
 
 def main() -> None:
     """Run the daemon until it stops, and log its start and its end."""
+    stream.protect()
     logger = journal.Logger("")
     path = nodefile.path(os.environ)
     fields = {
@@ -73,7 +75,7 @@
         settings = environment.parse(os.environ)
         node = _load_when_written(path, logger)
     except problem.UserError as error:
-        print(f"hyssopproxy: the settings are refused:\n{error}", file=sys.stderr)
+        stream.report(f"hyssopproxy: the settings are refused:\n{error}")
         return 2
     if node is None:
         return 0
@@ -133,7 +135,7 @@
     try:
         is_stopped = not await _open_all(openers, node.engine.stop_grace_s, logger)
     except OSError as error:
-        print(f"hyssopproxy: cannot listen on an address: {error}", file=sys.stderr)
+        stream.report(f"hyssopproxy: cannot listen on an address: {error}")
         return 2
     if is_stopped:
         return 0
--- a/hyssopproxy/transport/journal.py
+++ b/hyssopproxy/transport/journal.py
@@ -1,5 +1,6 @@
 """Structured log on standard output, rate-limited and non-blocking."""
 
+import contextlib
 import os
 import typing
 
@@ -34,7 +35,8 @@
     def __init__(self, descriptor: int) -> None:
         self.dropped = 0
         self._descriptor = descriptor
-        os.set_blocking(descriptor, False)
+        with contextlib.suppress(OSError):  # an output without this mode is used as it is
+            os.set_blocking(descriptor, False)
 
     def msg(self, line: bytes) -> None:
         try:
@@ -87,4 +89,15 @@
 
 
 def _encode(fields: dict, **_: typing.Any) -> bytes:
-    return msgspec.json.encode(fields)
+    try:
+        return msgspec.json.encode(fields)
+    except Exception:  # a value that JSON cannot represent, such as bytes of a path
+        return msgspec.json.encode({name: _make_encodable(value) for name, value in fields.items()})
+
+
+def _make_encodable(value: typing.Any) -> typing.Any:
+    try:
+        msgspec.json.encode(value)
+    except Exception:
+        return repr(value)
+    return value
--- a/tests/transport/test_journal.py
+++ b/tests/transport/test_journal.py
@@ -29,3 +29,22 @@
     assert logger.dropped > 0
     os.close(reader)
     os.close(writer)
+
+
+def test_value_that_json_cannot_represent_does_not_raise():
+    reader, writer = os.pipe()
+    logger = journal.Logger("n", writer)
+    logger.write("starting", {"settings": "/\udcff.toml", "number": 1 << 70, "any": object()}, 5.0)
+    line = msgspec.json.decode(os.read(reader, 4096))
+    assert "udcff" in line["settings"] and line["event"] == "starting"
+    os.close(reader)
+    os.close(writer)
+
+
+def test_output_that_is_closed_does_not_raise():
+    reader, writer = os.pipe()
+    os.close(reader)
+    os.close(writer)
+    logger = journal.Logger("n", writer)
+    logger.write("starting", {}, 5.0)
+    assert logger.dropped == 1
