Whatever a settings file contains, a start waits and then ends with status 2, and a reload is refused

Operators: the process ended with status 1 and a traceback; while it served, a reload failed without a line `settings_refused`.

Cause: nodefile.load raised more than UserError: RecursionError for nested arrays, ValueError for a number of more than 4300 digits, OverflowError for a number over the range of float. `nan` and `inf` passed as grace and limits, and an `ip` that is no address ended the start with an exception of the socket module.

Change: load turns every exception into UserError; numbers must be finite, `ip` must be an address.

Evidence: before, on the parent, 3 tests of tests/platform/test_settings_file.py fail (status 1 in place of 2, no `waiting`, no `settings_refused`; cases deep, long number, large number, no number, no address). After: they pass, with 12 kinds of file (missing, folder, loop of links, empty, half written, without [platform] ...) at the start, at a reload, and staying away (status 2 as documented).

--- a/hyssopproxy/platform/nodefile.py
+++ b/hyssopproxy/platform/nodefile.py
@@ -1,6 +1,8 @@
 """Reads the settings file that the platform provides for each process."""
 
+import ipaddress
 import os
+import sys
 import tomllib
 import typing
 
@@ -32,7 +34,19 @@
 
 
 def load(file_path: str) -> NodeFile:
-    """Load the settings; raise `problem.UserError` with every error and its remedy."""
+    """Load the settings; raise `problem.UserError` with every error and its remedy.
+
+    No other exception is raised, whatever the file contains.
+    """
+    try:
+        return _load(file_path)
+    except problem.UserError:
+        raise
+    except Exception as error:  # such as RecursionError for tables that are nested deeply
+        raise problem.UserError([f"{file_path}: cannot be read: {error!r}"]) from error
+
+
+def _load(file_path: str) -> NodeFile:
     try:
         with open(file_path, "rb") as file:
             table = tomllib.load(file)
@@ -47,7 +61,7 @@
 def parse(table: dict) -> NodeFile:
     """Convert a decoded file into settings; unknown fields are ignored."""
     reader = _TableReader(table)
-    ip = reader.string("ip")
+    ip = reader.ip("ip")
     bounds = reader.section("bounds")
     listen = reader.section("listen")
     control = listen.host_port("control", is_required=False)
@@ -109,6 +123,16 @@
             return ""
         return value
 
+    def ip(self, key: str) -> str:
+        """Return a required IP address."""
+        value = self.string(key)
+        try:
+            ipaddress.ip_address(value)
+        except ValueError:
+            if value:
+                self.errors.append(f"{self._prefix}{key}: {value!r}: give an IP address")
+        return value
+
     def strings(self, key: str) -> tuple[str, ...]:
         """Return a list of strings; empty if the key is absent."""
         value = self._table.get(key, [])
@@ -120,7 +144,8 @@
     def number(self, key: str, default: float) -> float:
         """Return a non-negative number."""
         value = self._table.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not is_number or not 0 <= value <= sys.float_info.max:
             self.errors.append(f"{self._prefix}{key}: {value!r}: give a number of 0 or more")
             return default
         return float(value)
