An error at one connection does not end the check of timeouts, or the drain

Callers and operators: after one unexpected error no timeout of this server was checked any more (connections and descriptors stay until the process ends); an error in the drain ended the process with status 1.

Cause: Server._check_timeouts scheduled its next run last; drain and check stopped at the first error.

Evidence: on the parent both new tests of tests/transport/test_server.py fail; after, they pass. No real error of this kind is known.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections
+import functools
 import select
 import socket
 import typing
@@ -338,11 +339,19 @@
         return Connection(self._handler, self.connections, self._account)
 
     def _check_timeouts(self) -> None:
-        now = clock.read()
-        for connection in list(self.connections):
-            connection.check_timeouts(now)
         loop = asyncio.get_running_loop()
         self._timeout_timer = loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
+        now = clock.read()
+        self._for_each_connection(functools.partial(Connection.check_timeouts, now=now))
+
+    def _for_each_connection(self, check: typing.Callable[[Connection], None]) -> None:
+        """Check all connections; an unexpected error at one does not spare the others."""
+        for connection in list(self.connections):
+            try:
+                check(connection)
+            except Exception as error:
+                context = {"message": "unexpected error at a connection", "exception": error}
+                asyncio.get_running_loop().call_exception_handler(context)
 
     def stop_accepting(self) -> None:
         """Accept what the kernel has accepted already, then close the listener.
@@ -372,8 +381,7 @@
         deadline = clock.read() + timeout_s
         while True:
             now = clock.read()
-            for connection in list(self.connections):
-                connection.close_if_idle(now)
+            self._for_each_connection(functools.partial(Connection.close_if_idle, now=now))
             if now >= deadline or not (self.connections or self._accept_tasks):
                 return sum(connection.is_busy for connection in self.connections)
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -227,3 +227,52 @@
 
     handler_limits = limit.Limits(idle_timeout_s=WAIT_S)
     run_with_server(scenario, limits=handler_limits)
+
+
+def test_fault_at_one_connection_does_not_end_the_checks_of_the_others(monkeypatch):
+    errors = []
+    faulty = []
+    check = servers.Connection.check_timeouts
+
+    def check_or_fail(connection, now):
+        if connection in faulty:
+            raise KeyError("unexpected")
+        check(connection, now)
+
+    async def scenario(handler, server, port):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        _, kept = await asyncio.open_connection("127.0.0.1", port)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        faulty.extend(server.connections)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        assert await reader.read() == b"", "the idle connection is closed"
+        assert len(errors) > 1, "the checks go on"
+        monkeypatch.undo()
+        writer.close()
+        kept.close()
+
+    monkeypatch.setattr(servers.Connection, "check_timeouts", check_or_fail)
+    run_with_server(scenario)
+
+
+def test_fault_at_one_connection_does_not_end_the_drain(monkeypatch):
+    errors = []
+
+    def fail(connection, now):
+        raise KeyError("unexpected")
+
+    async def scenario(handler, server, port):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        assert await server.drain(0.0) == 0
+        assert errors
+        monkeypatch.undo()
+        writer.close()
+
+    monkeypatch.setattr(servers.Connection, "close_if_idle", fail)
+    run_with_server(scenario)
