The same unexpected error is logged once a second, and the exception handler itself does not fail

Operators: when a daemon's descriptors were used up, its log held nothing else: asyncio reports the error of accept up to 512 times a second for each listener, which took the whole rate of urgent lines; the line `settings_refused` of that moment was suppressed for good. A context whose exception is none made the handler fail.

Change: ErrorLog counts repeats of the last error and logs it once in ERROR_REPEAT_S.

Evidence: on the parent two tests of tests/platform/test_fault.py fail (no `settings_refused` in 30 s; no line of a context without exception); after, they pass. Already before, the daemon lived with all descriptors used (RLIMIT_NOFILE 40, 80 connections), served afterwards and stopped with status 0; the tests now keep that.

--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -36,6 +36,7 @@
 ADDRESS_MARGIN_S = 2.0  # added to the grace of a predecessor that still holds an address
 METRICS_RETRY_S = 1.0
 SETTINGS_POLL_S = 1.0  # poll interval of the settings file, which may change without a SIGHUP
+ERROR_REPEAT_S = 1.0  # interval between lines about the same unexpected error
 EXIT_MARGIN_S = 0.2  # time to end the process before SIGKILL
 GC_THRESHOLD = 20_000  # allocations between collections; fewer collections cut tail latency
 
@@ -145,7 +146,7 @@
     logger.write("started", {"settings": path}, clock.read(), is_urgent=True)
     watcher = SettingsWatcher(runtime, path)
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(functools.partial(_log_error, logger))
+    loop.set_exception_handler(ErrorLog(logger).handle)
     for number, handle in (
         (signal.SIGTERM, functools.partial(runtime.post, event.StopRequested())),
         (signal.SIGHUP, watcher.reload),
@@ -223,12 +224,32 @@
         runtime.logger.write("connections_cut", fields, clock.read(), is_urgent=True)
 
 
-def _log_error(logger: journal.Logger, loop: asyncio.AbstractEventLoop, context: dict) -> None:
-    """Log an exception that no other code handled; the process continues."""
-    error = context.get("exception")
-    where = traceback.format_exception(error)[-3:] if error else []
-    fields = {"message": context.get("message", ""), "error": repr(error), "where": where}
-    logger.write("internal_error", fields, clock.read(), is_urgent=True)
+class ErrorLog:
+    """Logs exceptions that no other code handled; the process continues.
+
+    The event loop reports the same error hundreds of times when all descriptors are used. It is
+    logged once in `ERROR_REPEAT_S`, so that it does not crowd out other lines.
+    """
+
+    def __init__(self, logger: journal.Logger) -> None:
+        self._logger = logger
+        self._last = ("", "")  # message and error
+        self._logged_at = float("-inf")
+        self._repeats = 0
+
+    def handle(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        """Log an exception; an exception handler of the event loop."""
+        error = context.get("exception")
+        key = (str(context.get("message", "")), repr(error))
+        now = clock.read()
+        if key == self._last and now - self._logged_at < ERROR_REPEAT_S:
+            self._repeats += 1
+            return
+        is_error = isinstance(error, BaseException)
+        where = traceback.format_exception(error)[-3:] if is_error else []
+        fields = {"message": key[0], "error": key[1], "where": where, "repeats": self._repeats}
+        self._logger.write("internal_error", fields, now, is_urgent=True)
+        self._last, self._logged_at, self._repeats = key, now, 0
 
 
 class SettingsWatcher:
--- /dev/null
+++ b/tests/platform/test_fault.py
@@ -0,0 +1,114 @@
+"""Errors outside the reducer: a daemon logs them and goes on."""
+
+import contextlib
+import resource
+import signal
+
+from bench import site as sites
+
+MAX_DESCRIPTORS = 40
+FAULTY_CALL = """
+import asyncio
+
+from hyssopproxy.platform import service
+
+class Watcher(service.SettingsWatcher):
+    def reload(self):
+        loop = asyncio.get_running_loop()
+        loop.call_soon(fail, KeyError("callback"))
+        loop.create_task(fail_later())
+        loop.call_soon(fail, MemoryError("memory"))
+        loop.call_exception_handler({"message": b"no text", "exception": "no exception"})
+        raise KeyError("signal handler")
+
+    def _stat(self):
+        if self._is_served():
+            raise KeyError("poll")
+        return super()._stat()
+
+    def _is_served(self):
+        return self._runtime.state.table is not None
+
+def fail(error):
+    raise error
+
+async def fail_later():
+    raise KeyError("task")
+
+service.SettingsWatcher = Watcher
+service.SETTINGS_POLL_S = 0.05
+service.main()
+"""
+
+
+def events_of(daemon):
+    return [line["event"] for line in daemon.log]
+
+
+async def restart(site, daemon, *arguments):
+    daemon.signal(signal.SIGKILL)
+    await daemon.wait()
+    daemon.log.clear()
+    await site.start_daemon(daemon, *arguments)
+
+
+def test_errors_in_callbacks_tasks_and_handlers_are_logged_and_end_nothing():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        await restart(site, daemon, "-c", FAULTY_CALL)
+        await site.wait_ready(daemon)
+        daemon.signal(signal.SIGHUP)
+
+        def are_logged():
+            lines = [line for line in daemon.log if line["event"] == "internal_error"]
+            text = " ".join(line["error"] for line in lines)
+            names = ("callback", "task", "memory", "no exception", "signal handler")
+            return all(name in text for name in names) and text.count("poll") > 1
+
+        await sites.wait_for(are_logged, "a line for each error, and more than one poll")
+        assert (await site.get(daemon)).status == 200
+        daemon.signal(signal.SIGTERM)
+        assert await daemon.wait() == 0
+
+    sites.run_scenario(scenario)
+
+
+def test_daemon_whose_descriptors_are_used_up_serves_when_some_are_free_again():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        pid = daemon.process.pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(2 * MAX_DESCRIPTORS):
+                _, writer = await site.connect(daemon)
+                stack.callback(writer.close)
+            await sites.wait_for(lambda: "internal_error" in events_of(daemon), "the full table")
+            daemon.signal(signal.SIGHUP)  # a file that cannot be opened
+            await sites.wait_for(lambda: "settings_refused" in events_of(daemon), "the refusal")
+        await site.wait_ready(daemon)
+
+        async def is_served():
+            with contextlib.suppress(OSError):
+                return (await site.get(daemon)).status == 200
+
+        await sites.wait_for(is_served, "a response")
+        daemon.signal(signal.SIGTERM)
+        assert await daemon.wait() == 0
+
+    sites.run_scenario(scenario)
+
+
+def test_daemon_whose_descriptors_are_used_up_stops_with_status_0():
+    async def scenario(site):
+        daemon = site.daemons[0]
+        pid = daemon.process.pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(2 * MAX_DESCRIPTORS):
+                _, writer = await site.connect(daemon)
+                stack.callback(writer.close)
+            await sites.wait_for(lambda: "internal_error" in events_of(daemon), "the full table")
+            daemon.signal(signal.SIGTERM)
+            assert await daemon.wait() == 0
+
+    sites.run_scenario(scenario)
