An unexpected error in a read from the store or a peer ends this read alone, not all later ones

Operators and callers: the daemon keeps its last configuration and targets for good, without a line `internal_error` before the garbage collection.

Cause: the reducer counts the read as in progress until its end is posted; a task that ended by an exception other than OSError (a seed without a port: ValueError) posted none.

Change: tasks are guarded as the pump guards effects: the error is logged and ReadFailed posted.

--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -89,11 +89,18 @@
     def _execute(self, effect: typing.Any) -> None:
         _EXECUTORS[type(effect)](self, effect)
 
-    def _start_task(self, coroutine: typing.Coroutine) -> None:
-        task = self._loop.create_task(coroutine)
+    def _start_task(self, coroutine: typing.Coroutine, cause: typing.Any) -> None:
+        task = self._loop.create_task(self._guard(coroutine, cause))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _guard(self, coroutine: typing.Coroutine, cause: typing.Any) -> None:
+        """Run a task of an effect; an unexpected error fails what the effect belongs to."""
+        try:
+            await coroutine
+        except Exception as error:
+            self._handle_error(error, cause)
+
     def _send(self, effect: effects.Send) -> None:
         request = self.ingress.requests.get(effect.query_no)
         if request is not None:
@@ -116,10 +123,10 @@
         self._loop.call_later(delay, self.post, effect.event)
 
     def _read_page(self, effect: effects.ReadPage) -> None:
-        self._start_task(self._store_client.read_page(effect))
+        self._start_task(self._store_client.read_page(effect), effect)
 
     def _read_changes(self, effect: effects.ReadChanges) -> None:
-        self._start_task(self._store_client.read_changes(effect))
+        self._start_task(self._store_client.read_changes(effect), effect)
 
     def _answer_followers(self, effect: effects.AnswerFollowers) -> None:
         self.cache_handler.answer_watches()
--- a/tests/platform/test_fault.py
+++ b/tests/platform/test_fault.py
@@ -1,10 +1,17 @@
 """Errors outside the reducer: a daemon logs them and goes on."""
 
+import asyncio
 import contextlib
 import resource
 import signal
 
 from bench import site as sites
+from hyssopproxy import limit
+from hyssopproxy.engine import effect
+from hyssopproxy.platform import runtime
+from hyssopproxy.platform import store
+from hyssopproxy.transport import journal
+from tests.engine import world as worlds
 
 MAX_DESCRIPTORS = 40
 FAULTY_CALL = """
@@ -112,3 +119,27 @@
             assert await daemon.wait() == 0
 
     sites.run_scenario(scenario)
+
+
+def test_unexpected_error_in_a_read_ends_this_read_alone(monkeypatch):
+    """Guards against reads from the store that end for good, since one counts as in progress."""
+
+    async def fail(*arguments):
+        raise KeyError("unexpected")
+
+    async def scenario():
+        state = worlds.make_plain_world().state
+        loop_runtime = runtime.Runtime(state, journal.Logger("n"), 0, limit.BufferLimits())
+        monkeypatch.setattr(store.StoreClient, "_call", fail)
+        for read in (
+            effect.ReadPage(77, "", True, None, 1.0),
+            effect.ReadChanges(77, "", True, 1, 1.0, 2.0),
+        ):
+            state.sync.read_no, state.sync.source = 77, state.settings.store
+            loop_runtime._execute(read)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert state.sync.read_no == 0
+        assert state.counters["internal_errors"] == 2
+
+    asyncio.run(scenario())
