While no descriptor is free, retries to accept no longer multiply until the processor and memory are used up

Operators: a daemon whose descriptors were used up took more of the processor and of memory each second.

Cause: asyncio's accept loop tries `backlog` (512) times per wake-up and schedules a retry in 1 s for each failed try; the retries wake the loop again, so that they multiply.

Change: one accept per wake-up; the kernel's backlog stays 512. One failed accept schedules one retry.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -18,6 +18,9 @@
 TIMEOUT_CHECK_S = 0.25  # interval between checks of the connections' timeouts
 IDLE_GRACE_S = 0.5  # added to the idle timeout for requests that are in transit
 BACKLOG = 512  # connections that the kernel accepts before the process does
+# Connections accepted per wake-up. asyncio schedules a retry for each failed accept, and so, while
+# no descriptor is free, more retries each second if it tries several times.
+ACCEPTS_AT_ONCE = 1
 FIRST_REQUEST_S = 0.3  # time for the first request on a connection that was accepted while stopping
 DRAIN_CHECK_S = 0.01
 MAX_PIPELINED = 8  # requests buffered behind the one in progress before reading pauses
@@ -322,8 +325,9 @@
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((host, port))
             self._server = await loop.create_server(
-                self._make_connection, sock=listener, backlog=BACKLOG
+                self._make_connection, sock=listener, backlog=ACCEPTS_AT_ONCE
             )
+            listener.listen(BACKLOG)
         except OSError:
             listener.close()
             raise
--- a/tests/platform/test_fault.py
+++ b/tests/platform/test_fault.py
@@ -14,6 +14,7 @@
 from tests.engine import world as worlds
 
 MAX_DESCRIPTORS = 40
+MAX_RETRIES = 20  # between two lines of the log
 FAULTY_CALL = """
 import asyncio
 
@@ -121,6 +122,26 @@
     sites.run_scenario(scenario)
 
 
+def test_retries_to_accept_do_not_multiply_while_no_descriptor_is_free():
+    """Guards against a processor and a memory that fill with retries, hundreds more each second."""
+
+    def error_lines(daemon):
+        return [line for line in daemon.log if line["event"] == "internal_error"]
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        pid = daemon.process.pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(2 * MAX_DESCRIPTORS):
+                _, writer = await site.connect(daemon)
+                stack.callback(writer.close)
+            await sites.wait_for(lambda: len(error_lines(daemon)) > 3, "several retries")
+        assert max(line["repeats"] for line in error_lines(daemon)) < MAX_RETRIES
+
+    sites.run_scenario(scenario)
+
+
 def test_unexpected_error_in_a_read_ends_this_read_alone(monkeypatch):
     """Guards against reads from the store that end for good, since one counts as in progress."""
 
