--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections
+import functools
 import select
 import socket
 import typing
@@ -17,6 +18,9 @@
 TIMEOUT_CHECK_S = 0.25  # interval between checks of the connections' timeouts
 IDLE_GRACE_S = 0.5  # added to the idle timeout for requests that are in transit
 BACKLOG = 512  # connections that the kernel accepts before the process does
+# Connections accepted per wake-up. asyncio schedules a retry for each failed accept, and so, while
+# no descriptor is free, more retries each second if it tries several times.
+ACCEPTS_AT_ONCE = 1
 FIRST_REQUEST_S = 0.3  # time for the first request on a connection that was accepted while stopping
 DRAIN_CHECK_S = 0.01
 MAX_PIPELINED = 8  # requests buffered behind the one in progress before reading pauses
@@ -321,8 +325,9 @@
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((host, port))
             self._server = await loop.create_server(
-                self._make_connection, sock=listener, backlog=BACKLOG
+                self._make_connection, sock=listener, backlog=ACCEPTS_AT_ONCE
             )
+            listener.listen(BACKLOG)
         except OSError:
             listener.close()
             raise
@@ -338,11 +343,19 @@
         return Connection(self._handler, self.connections, self._account)
 
     def _check_timeouts(self) -> None:
-        now = clock.read()
-        for connection in list(self.connections):
-            connection.check_timeouts(now)
         loop = asyncio.get_running_loop()
         self._timeout_timer = loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
+        now = clock.read()
+        self._for_each_connection(functools.partial(Connection.check_timeouts, now=now))
+
+    def _for_each_connection(self, check: typing.Callable[[Connection], None]) -> None:
+        """Check all connections; an unexpected error at one does not spare the others."""
+        for connection in list(self.connections):
+            try:
+                check(connection)
+            except Exception as error:
+                context = {"message": "unexpected error at a connection", "exception": error}
+                asyncio.get_running_loop().call_exception_handler(context)
 
     def stop_accepting(self) -> None:
         """Accept what the kernel has accepted already, then close the listener.
@@ -372,8 +385,7 @@
         deadline = clock.read() + timeout_s
         while True:
             now = clock.read()
-            for connection in list(self.connections):
-                connection.close_if_idle(now)
+            self._for_each_connection(functools.partial(Connection.close_if_idle, now=now))
             if now >= deadline or not (self.connections or self._accept_tasks):
                 return sum(connection.is_busy for connection in self.connections)
             await asyncio.sleep(DRAIN_CHECK_S)
