An address that cannot be connected to ends its attempt, and an unexpected error ends its read

Cause: the standard library takes any text after % for the scope of an IPv6 address, and connecting to it raises UnicodeError, which the adapters don't expect. Class: a task that ends with an unexpected error, which the engine is not told of.

Change: an address with a scope is no address, so the entry names no leaf. Whatever a connection attempt raises, the attempt ends and the event loop logs the error. Whatever a read raises, the read fails and the error is logged.

Why it works: the engine hears of the end of each attempt and each read, so it retries and reads again.

--- a/hyssopproxy/address.py
+++ b/hyssopproxy/address.py
@@ -33,8 +33,23 @@
     if not colon or not is_number or not 0 < int(port) < 65536:
         return BadAddress("give IP:PORT with a port from 1 to 65535")
     ip = host.removeprefix("[").removesuffix("]")
-    try:
-        ipaddress.ip_address(ip)
-    except ValueError:
+    if not is_ip(ip):
         return BadAddress(f"{host!r} is not an IP address")
     return Address(ip, int(port))
+
+
+def is_ip(text: str) -> bool:
+    """Return whether a text is an IP address without a scope.
+
+    The standard library accepts any text as a scope, and the socket functions do not.
+
+    >>> is_ip("fe80::1"), is_ip("fe80::1%eth0"), is_ip("localhost")
+    (True, False, False)
+    """
+    if "%" in text:
+        return False
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -154,6 +154,9 @@
         except OSError as error:
             is_local = error.errno in _LOCAL_ERRORS
             self._end_attempt(exchange, Outcome.LOCAL if is_local else Outcome.CONNECT)
+        except Exception:  # any fault; the event loop logs it
+            self._end_attempt(exchange, Outcome.RESET, detail="internal_error")
+            raise
         else:
             self._handle_connected(exchange, connection)
 
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import traceback
 import typing
 
@@ -89,10 +90,21 @@
     def _execute(self, effect: typing.Any) -> None:
         _EXECUTORS[type(effect)](self, effect)
 
-    def _start_task(self, coroutine: typing.Coroutine) -> None:
+    def _start_read(
+        self, read: effects.ReadPage | effects.ReadChanges, coroutine: typing.Coroutine
+    ) -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(functools.partial(self._handle_read_end, read))
+
+    def _handle_read_end(
+        self, read: effects.ReadPage | effects.ReadChanges, task: asyncio.Task
+    ) -> None:
+        """Fail a read that met an unexpected error; no other would be started while it is open."""
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, Exception):
+            self._handle_error(error, read)
 
     def _send(self, effect: effects.Send) -> None:
         request = self.ingress.requests.get(effect.query_no)
@@ -116,10 +128,10 @@
         self._loop.call_later(delay, self.post, effect.event)
 
     def _read_page(self, effect: effects.ReadPage) -> None:
-        self._start_task(self._store_client.read_page(effect))
+        self._start_read(effect, self._store_client.read_page(effect))
 
     def _read_changes(self, effect: effects.ReadChanges) -> None:
-        self._start_task(self._store_client.read_changes(effect))
+        self._start_read(effect, self._store_client.read_changes(effect))
 
     def _answer_followers(self, effect: effects.AnswerFollowers) -> None:
         self.cache_handler.answer_watches()
--- /dev/null
+++ b/tests/platform/test_odd_entry.py
@@ -0,0 +1,108 @@
+"""Entries of another writer, through every daemon that reads them: no daemon ends or stops."""
+
+import asyncio
+import base64
+
+import msgspec
+import pytest
+
+from bench import site as sites
+from hyssopproxy import limit
+from hyssopproxy.engine import effect
+from hyssopproxy.engine import event
+from hyssopproxy.engine import model
+from hyssopproxy.platform import document
+from hyssopproxy.platform import ingress
+from hyssopproxy.platform import leaf
+from hyssopproxy.platform import runtime
+from hyssopproxy.platform import store
+from hyssopproxy.transport import buffer
+from hyssopproxy.transport import journal
+from tests.engine import world as worlds
+
+FIELDS = {
+    "backend": "p",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "maxConcurrency": 6,
+    "state": "ready",
+    "warmupLeftMs": 0,
+    "sequence": 1,
+    "born": 1,
+}
+#: Addresses that the standard library takes for an IP address but that cannot be connected to.
+SCOPED_HOSTS = ["fe80::1%\x00", "fe80::1%" + "a" * 70, "fe80::1%a..b", "fe80::1%\ud800"]
+
+
+def decode(fields, key="servers/i-1"):
+    blob = base64.b64encode(msgspec.json.encode({**FIELDS, **fields})).decode()
+    return document.decode_item(document.Item(key, 5, blob))
+
+
+def post_to(posted):
+    def post(posted_event):
+        posted.append(posted_event)
+
+    return post
+
+
+@pytest.mark.parametrize("host", SCOPED_HOSTS)
+def test_attempt_to_an_odd_address_ends(host):
+    """It never ended: the error was none that connecting is expected to raise."""
+
+    async def scenario():
+        posted = []
+        client = leaf.LeafClient(post_to(posted), limit.ResponseLimits(), buffer.Account(1 << 20))
+        attempt = effect.Send(
+            query_no=1,
+            attempt_no=7,
+            target_id="i-1",
+            address=f"{host}:80",
+            time_left_s=1.0,
+            not_after=1e12,
+            needs_fresh_connection=False,
+            max_connections=4,
+        )
+        errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+        client.send(attempt, ingress.ForwardedRequest(None, b"r", b"", b"", False))
+        async with asyncio.timeout(sites.WAIT_S):
+            while client._tasks:
+                await asyncio.sleep(0.01)
+        assert [ended.attempt_no for ended in posted] == [7]
+        assert posted[0].outcome in (model.Outcome.CONNECT, model.Outcome.RESET)
+        assert not client._exchanges and not client._in_flight
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("host", SCOPED_HOSTS)
+def test_read_from_an_odd_address_fails(host):
+    """It stayed in flight, and the daemon started no other read: it stopped following."""
+
+    async def scenario():
+        state = worlds.make_plain_world().state
+        loop_runtime = runtime.Runtime(state, journal.Logger("n"), 0, limit.BufferLimits())
+        posted = []
+        loop_runtime.post = post_to(posted)
+        loop_runtime._store_client = store.StoreClient(
+            loop_runtime.post, loop_runtime.cache, limit.ResponseLimits(), buffer.Account(1 << 20)
+        )
+        source = f"{host}:80"
+        loop_runtime._execute(effect.ReadChanges(5, source, True, 1, 1.0, 1.0))
+        loop_runtime._execute(effect.ReadPage(6, source, True, None, 1.0))
+        async with asyncio.timeout(sites.WAIT_S):
+            while loop_runtime._tasks:
+                await asyncio.sleep(0.01)
+        assert sorted(failed.read_no for failed in posted) == [5, 6]
+        assert all(isinstance(failed, event.ReadFailed) for failed in posted)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("host", [*SCOPED_HOSTS[:3], "[fe80::1%eth0]", "fe80::1%1"])
+def test_entry_with_an_odd_address_names_no_leaf(host):
+    change = decode({"address": f"{host}:80"})
+    assert change.value is None and change.error
