An odd address in a datagram or a seed does not close the socket for datagrams

Operators would see: after one gossip record, ping or seed whose address is "fe80::1%<NUL>", or a seed with a NUL, a daemon sends and receives no datagrams until it is restarted.

Cause: datagram.decode took any scope of an IPv6 address; asyncio closes a datagram socket at any error of sendto that is not OSError, and a name with a NUL raises TypeError. Class: a name from outside that reaches a socket unchecked.

Change: addresses in datagrams are checked with address.is_ip, and nothing is sent to a seed that is none.

--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -1,11 +1,12 @@
 """Datagrams between daemons and their encoding."""
 
 import enum
-import ipaddress
 import typing
 
 import msgspec
 
+from hyssopproxy import address
+
 Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 Number = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]  # neither infinite nor NaN
 Name = typing.Annotated[str, msgspec.Meta(max_length=200)]
@@ -85,7 +86,7 @@
         message = _DECODER.decode(blob)
     except (msgspec.MsgspecError, RecursionError):
         return None
-    return message if all(map(_is_ip, _addresses(message))) else None
+    return message if all(map(address.is_ip, _addresses(message))) else None
 
 
 def _addresses(message: Message) -> list[str]:
@@ -93,11 +94,3 @@
     if isinstance(message, Gossip):
         return [message.sender.ip, *(record.ip for record in message.records)]
     return [message.ip] if isinstance(message, Ping) else []
-
-
-def _is_ip(text: str) -> bool:
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -6,6 +6,7 @@
 import traceback
 import typing
 
+from hyssopproxy import address
 from hyssopproxy import limit
 from hyssopproxy import metric
 from hyssopproxy import pump
@@ -137,6 +138,9 @@
         self.cache_handler.answer_watches()
 
     def _send_peer(self, effect: effects.SendPeer) -> None:
+        if not address.is_ip(effect.ip):  # a seed; asyncio may close the socket at odd names
+            self.state.counters["datagrams_refused"] += 1
+            return
         data = datagram.encode(effect.message)
         self._peer_transport.sendto(data, (effect.ip, self._peer_port))
 
--- a/tests/platform/test_odd_entry.py
+++ b/tests/platform/test_odd_entry.py
@@ -8,6 +8,7 @@
 
 from bench import site as sites
 from hyssopproxy import limit
+from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
@@ -106,3 +107,28 @@
 def test_entry_with_an_odd_address_names_no_leaf(host):
     change = decode({"address": f"{host}:80"})
     assert change.value is None and change.error
+
+
+@pytest.mark.parametrize("host", SCOPED_HOSTS[:3])
+def test_datagram_that_names_an_odd_address_is_refused(host):
+    """The first datagram sent to it closed the socket for datagrams for good."""
+    record = datagram.MemberRecord(host, "a", 1, 1, 1, 1)
+    assert datagram.decode(datagram.encode(datagram.Ping(host))) is None
+    assert datagram.decode(datagram.encode(datagram.Gossip(record, ()))) is None
+
+
+def test_seed_with_an_odd_address_does_not_close_the_peer_socket():
+    async def scenario():
+        state = worlds.make_plain_world().state
+        loop_runtime = runtime.Runtime(state, journal.Logger("n"), 0, limit.BufferLimits())
+        loop_runtime._peer_transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
+        )
+        for host in (*SCOPED_HOSTS, "", "a\x00b", "not a host"):
+            loop_runtime._execute(effect.SendPeer(host, datagram.Ping("10.0.0.1")))
+            await asyncio.sleep(0)
+        assert not loop_runtime._peer_transport.is_closing()
+        assert state.counters["datagrams_refused"] == len(SCOPED_HOSTS) + 3
+        loop_runtime._peer_transport.close()
+
+    asyncio.run(scenario())
