A settings file with huge numbers or deep nesting is refused with a reason, at the start and at a reload

Operators would see: a start that ends with a traceback and status 1 without the wait for a valid file; at a reload an internal_error each second instead of settings_refused. NaN and infinity were accepted as times and ratios.

Cause: tomllib raises plain ValueError for an integer of more than 4,300 digits and RecursionError for deep nesting, float() raises OverflowError, and Python refuses to print huge integers that were written in hexadecimal, also in the text of the refusal. Class: errors of decoding other than the two that were expected.

Change: any ValueError or RecursionError of decoding is a refusal, numbers are limited to 1e9, addresses are strings, `ip` is an IP address, and a value is printed within a limit.

--- a/hyssopproxy/platform/nodefile.py
+++ b/hyssopproxy/platform/nodefile.py
@@ -12,6 +12,8 @@
 
 PATH_VARIABLE = "HYSSOPPROXY_NODE_FILE"
 DEFAULT_PATH = "/etc/hyssopproxy/node.toml"
+MAX_NUMBER = 1e9  # more than any setting is; also the limit of numbers in datagrams
+MAX_REASON_CHARS = 160
 
 
 @attrs.frozen
@@ -39,8 +41,9 @@
     except OSError as error:
         reason = os.strerror(error.errno or 0)
         raise problem.UserError([f"{file_path}: {reason}: set {PATH_VARIABLE}"]) from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise problem.UserError([f"{file_path}: invalid TOML: {error}"]) from None
+    except (ValueError, RecursionError) as error:  # also from huge integers and deep nesting
+        reason = str(error)[:MAX_REASON_CHARS]
+        raise problem.UserError([f"{file_path}: invalid TOML: {reason}"]) from None
     return parse(table)
 
 
@@ -48,6 +51,8 @@
     """Convert a decoded file into settings; unknown fields are ignored."""
     reader = _TableReader(table)
     ip = reader.string("ip")
+    if ip and not address.is_ip(ip):
+        reader.errors.append(f"ip: {_show(ip)}: give an IP address")
     bounds = reader.section("bounds")
     listen = reader.section("listen")
     control = listen.host_port("control", is_required=False)
@@ -85,6 +90,14 @@
     return type(value) is int and 0 < value < 65536
 
 
+def _show(value: typing.Any) -> str:
+    """Return a short text of a value of any kind and size."""
+    try:
+        return repr(value)[:MAX_REASON_CHARS]
+    except (ValueError, RecursionError):  # Python refuses to print huge integers
+        return f"{type(value).__name__} too large to print"
+
+
 class _TableReader:
     """Reads and checks single values of a table and collects all errors."""
 
@@ -97,7 +110,7 @@
         """Return a reader for a nested table; a missing table counts as empty."""
         value = self._table.get(key, {})
         if not isinstance(value, dict):
-            self.errors.append(f"{self._prefix}{key}: {value!r}: give a table")
+            self.errors.append(f"{self._prefix}{key}: {_show(value)}: give a table")
             value = {}
         return _TableReader(value, f"{self._prefix}{key}.", self.errors)
 
@@ -105,7 +118,7 @@
         """Return a required string that must not be empty."""
         value = self._table.get(key)
         if not isinstance(value, str) or not value:
-            self.errors.append(f"{self._prefix}{key}: {value!r}: give a non-empty string")
+            self.errors.append(f"{self._prefix}{key}: {_show(value)}: give a non-empty string")
             return ""
         return value
 
@@ -113,15 +126,18 @@
         """Return a list of strings; empty if the key is absent."""
         value = self._table.get(key, [])
         if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
-            self.errors.append(f"{self._prefix}{key}: {value!r}: give a list of strings")
+            self.errors.append(f"{self._prefix}{key}: {_show(value)}: give a list of strings")
             return ()
         return tuple(value)
 
     def number(self, key: str, default: float) -> float:
-        """Return a non-negative number."""
+        """Return a finite, non-negative number."""
         value = self._table.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
-            self.errors.append(f"{self._prefix}{key}: {value!r}: give a number of 0 or more")
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not is_number or not 0 <= value <= MAX_NUMBER:
+            self.errors.append(
+                f"{self._prefix}{key}: {_show(value)}: give a number from 0 to {MAX_NUMBER:.0f}"
+            )
             return default
         return float(value)
 
@@ -129,7 +145,8 @@
         """Return an address of the form IP:PORT."""
         if key not in self._table and not is_required:
             return None
-        parsed = address.parse(str(self._table.get(key, "")))
+        value = self._table.get(key)
+        parsed = address.parse(value if isinstance(value, str) else "")
         if isinstance(parsed, address.BadAddress):
             self.errors.append(f"{self._prefix}{key}: {parsed.reason}: give IP:PORT")
             return None
