Numbers and names of published documents are limited to what the daemon can use and pass on

Operators would see, if the store let such a document pass: a configuration whose version is 10**30 comes into force, and from then on each gossip ends with an internal_error, so that the daemons lose sight of each other. Weights whose sum is infinite send all requests of a split to one pool; times below 0 refuse all requests of a route. An entry may have a backend or a zone of a megabyte, which goes into each log line and datagram that names it.

Cause: integers of any size and floats up to 1e308 were decoded, and MessagePack holds 64 bits (datagram.encode raises OverflowError). Class: a value that is decoded without a limit and fails where it is used.

Change: limits on the types of the fields. An entry out of range names no leaf, a configuration out of range is refused with its reason, as other malformed ones are.

--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -21,11 +21,20 @@
 _TARGET_ID = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _IDEMPOTENT_TYPE = "idempotent"
 _SERVER_STATES = ("ready", "draining")
+MAX_TIME_MS = 1e9
+MAX_WEIGHT = 1e15  # sums of weights stay finite
+
+# Versions and revisions are sent to other daemons, in at most 64 bits.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Whole = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_TIME_MS)]
+Weight = typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WEIGHT)]
+Name = typing.Annotated[str, msgspec.Meta(max_length=200)]  # no longer than a key
 
 
 class _WeightedBackend(msgspec.Struct, frozen=True):
     backend: str
-    weight: float
+    weight: Weight
 
 
 class _Route(msgspec.Struct, frozen=True, rename="camel"):
@@ -33,45 +42,47 @@
     hostname: str
     path_prefix: str
     type: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0  # latency objective of the route's requests, not of targets
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = (
+        0.0  # latency objective of the route's requests, not of targets
+    )
+    max_attempts: Whole = 1
+    priority: Whole = 0
     backend: str | None = None
     traffic_split: tuple[_WeightedBackend, ...] | None = None
     gather: tuple[str, ...] | None = None
-    top_k: int = 0
+    top_k: Whole = 0
     min_coverage: float = 0.0
 
 
 class _Backend(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    max_connections: int = 64  # to each leaf, from all daemons together
+    max_connections: Whole = 64  # to each leaf, from all daemons together
     warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 1 << 20
-    header_timeout_ms: float = 5000.0
-    idle_timeout_ms: float = 30000.0
+    max_header_bytes: Whole = 16384
+    max_body_bytes: Whole = 1 << 20
+    header_timeout_ms: Milliseconds = 5000.0
+    idle_timeout_ms: Milliseconds = 30000.0
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
     routes: tuple[_Route, ...]
     backends: tuple[_Backend, ...]
     limits: _Limits = _Limits()
 
 
 class _Server(msgspec.Struct, frozen=True, rename="camel"):
-    backend: str
+    backend: Name
     address: str
-    zone: str
-    max_concurrency: int
+    zone: Name
+    max_concurrency: Whole
     state: str
     warmup_left_ms: float = 0.0
-    born: int = 0
+    born: Whole = 0
 
 
 class Item(msgspec.Struct, frozen=True):
--- a/tests/platform/test_odd_entry.py
+++ b/tests/platform/test_odd_entry.py
@@ -132,3 +132,66 @@
         loop_runtime._peer_transport.close()
 
     asyncio.run(scenario())
+
+
+#: Literals of JSON that are too large, too deep or of a wrong type for any field of an entry.
+ODD_LITERALS = {
+    "infinite": "1e999",
+    "huge": "1" + "0" * 30,
+    "beyond_a_float": "1" + "0" * 400,
+    "negative_huge": "-1" + "0" * 4000,
+    "beyond_printing": "1" + "0" * 5000,
+    "nan": "NaN",
+    "deep": "[" * 100_000 + "]" * 100_000,
+    "unclosed": "[" * 100_000,
+    "surrogate": '"\\ud800"',
+    "nul": '"\\u0000"',
+    "long": '"' + "x" * 1_000_000 + '"',
+    "null": "null",
+    "true": "true",
+    "object": "{}",
+}
+
+
+def make_raw_entry(field, literal):
+    text = msgspec.json.encode({**FIELDS, field: "@"}).decode()
+    return text.replace('"@"', literal).encode()
+
+
+@pytest.mark.parametrize("literal", sorted(ODD_LITERALS))
+@pytest.mark.parametrize("field", sorted(set(FIELDS) - {"sequence", "warmupLeftMs"}))
+def test_entry_with_an_odd_value_names_no_leaf(field, literal):
+    raw = make_raw_entry(field, ODD_LITERALS[literal])
+    blob = base64.b64encode(raw).decode()
+    change = document.decode_item(document.Item("servers/i-1", 5, blob))
+    if (field, literal) in {("backend", "nul"), ("zone", "nul")}:
+        assert change.value is not None, "a name that no configuration has"
+    else:
+        assert change.value is None and change.error and len(change.error) <= 160
+
+
+@pytest.mark.parametrize("number", ["1" + "0" * 30, "9223372036854775808", "-1", "1e999"])
+def test_configuration_whose_version_is_out_of_range_is_refused(number):
+    """In force, it kept a daemon from sending any gossip."""
+    blob = b'{"version": %s, "routes": [], "backends": []}' % number.encode()
+    item = document.Item("op/config", 5, base64.b64encode(blob).decode())
+    assert document.decode_item(item).value is None
+
+
+@pytest.mark.parametrize("weights", [["1e308", "1e308"], ["-1", "2"], ["0", "0"]])
+def test_split_whose_weights_have_no_finite_sum_is_refused(weights):
+    parts = ",".join(f'{{"backend": "p{w}", "weight": {w}}}' for w in weights)
+    route = msgspec.json.encode(sites.plain_route(backend=None, trafficSplit="@")).decode()
+    route = route.replace('"@"', f"[{parts}]")
+    blob = f'{{"version": 5, "routes": [{route}], "backends": []}}'.encode()
+    item = document.Item("op/config", 5, base64.b64encode(blob).decode())
+    assert document.decode_item(item).value is None
+
+
+@pytest.mark.parametrize("field", ["timeoutMs", "targetLatencyMs"])
+@pytest.mark.parametrize("number", ["1e308", "-1", "1" + "0" * 400])
+def test_route_whose_times_are_out_of_range_is_refused(field, number):
+    route = msgspec.json.encode(sites.plain_route(**{field: "@"})).decode().replace('"@"', number)
+    blob = f'{{"version": 5, "routes": [{route}], "backends": []}}'.encode()
+    item = document.Item("op/config", 5, base64.b64encode(blob).decode())
+    assert document.decode_item(item).value is None
