An item of the store that cannot be read does not hide the others of its page or watch

Cause: a response was decoded as a whole. Class: one bad element fails the collection that contains it.

Change: a response that isn't valid is decoded again, item by item, with a decoder that also reads NaN, lone surrogates and bytes that are no UTF-8. Items that cannot be read are left out, counted and logged as item_refused with the key "(unread)"; a page of which no item can be read fails. Revisions are limited to 64 bits, as they go into gossip.

--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import json
 import re
 import typing
 
@@ -16,12 +17,14 @@
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
+UNREAD_KEY = "(unread)"  # stands for the keys of items that could not be read
 MAX_SLOTS = 10_000
 MAX_COLD_LEFT_S = 600.0  # longest cold start that a leaf may state
 _TARGET_ID = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _IDEMPOTENT_TYPE = "idempotent"
 _SERVER_STATES = ("ready", "draining")
 MAX_TIME_MS = 1e9
+MAX_INT_CHARS = 20  # longer numbers are out of range
 MAX_WEIGHT = 1e15  # sums of weights stay finite
 
 # Versions and revisions are sent to other daemons, in at most 64 bits.
@@ -89,26 +92,29 @@
     """An item, or a change to an item, as the store encodes it."""
 
     key: str
-    revision: int
+    revision: Count
     value: str | None = None  # base64
     removed: bool = False
 
 
-class Page(msgspec.Struct, frozen=True, rename="camel"):
+class Page(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
     """The store's response to a range read."""
 
     items: tuple[Item, ...]
-    as_of: int
+    as_of: Count
     more_pages: bool = False
+    unread: int = 0  # items that could not be read; not part of the response
 
 
-class Events(msgspec.Struct, frozen=True, rename="camel"):
+class Events(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
     """The store's response to a watch."""
 
     events: tuple[Item, ...]
-    as_of: int
+    as_of: Count
+    unread: int = 0  # items that could not be read; not part of the response
 
 
+_Envelope = typing.TypeVar("_Envelope", Page, Events)
 _PAGE_DECODER = msgspec.json.Decoder(Page, strict=False)
 _EVENTS_DECODER = msgspec.json.Decoder(Events, strict=False)
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -116,13 +122,52 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Decode a page; raise one of `DECODE_ERRORS` if the body is malformed."""
-    return _PAGE_DECODER.decode(body)
+    """Decode a page, without the items that cannot be read.
+
+    Raise one of `DECODE_ERRORS` if the body is malformed apart from its items.
+    """
+    try:
+        return _PAGE_DECODER.decode(body)
+    except DECODE_ERRORS:
+        return _decode_readable(body, "items", Page)
 
 
 def decode_events(body: bytes) -> Events:
-    """Decode events; raise one of `DECODE_ERRORS` if the body is malformed."""
-    return _EVENTS_DECODER.decode(body)
+    """Decode events, without those that cannot be read.
+
+    Raise one of `DECODE_ERRORS` if the body is malformed apart from its events.
+    """
+    try:
+        return _EVENTS_DECODER.decode(body)
+    except DECODE_ERRORS:
+        return _decode_readable(body, "events", Events)
+
+
+def _decode_readable(body: bytes, field: str, envelope_type: type[_Envelope]) -> _Envelope:
+    """Decode a response with a decoder that reads more than JSON, and each item by itself."""
+    text = body.decode("utf-8", "surrogateescape")
+    envelope = json.loads(text, parse_int=_parse_int)
+    if not isinstance(envelope, dict) or not isinstance(envelope.get(field), list):
+        raise ValueError(f"{field}: not a list")
+    items = tuple(item for item in map(_read_item, envelope[field]) if item is not None)
+    unread = len(envelope[field]) - len(items)
+    return msgspec.convert(
+        {**envelope, field: items, "unread": unread}, envelope_type, strict=False
+    )
+
+
+def _parse_int(text: str) -> int | float:
+    return int(text) if len(text) < MAX_INT_CHARS else float("inf")
+
+
+def _read_item(value: typing.Any) -> Item | None:
+    """Return an item, or None if it cannot be read."""
+    try:
+        item = msgspec.convert(value, Item, strict=False)
+        msgspec.json.encode(item)  # raises an error for text that is not Unicode
+    except DECODE_ERRORS:
+        return None
+    return item
 
 
 def decode_item(item: Item) -> model.Change | None:
--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -134,10 +134,13 @@
             self._listed_as_of = page.as_of
         self._listed_keys.update(item.key for item in page.items)
         self._cache.update(page.items)
+        if page.more_pages and not page.items and page.unread:
+            self._fail(read, "garbled: a page without an item that can be read")
+            return
         next_after = page.items[-1].key if page.more_pages and page.items else None
         if next_after is None:
             self._cache.remove_unlisted(self._listed_keys, self._listed_as_of)
-        changes = _decode(page.items)
+        changes = _decode(page.items, page.unread, self._listed_as_of)
         self._post(event.PageRead(read.read_no, changes, page.as_of, next_after, age_s))
 
     async def read_changes(self, read: effect.ReadChanges) -> None:
@@ -149,7 +152,8 @@
             return
         events, age_s = decoded
         self._cache.update(events.events, events.as_of)
-        self._post(event.ChangesRead(read.read_no, _decode(events.events), events.as_of, age_s))
+        changes = _decode(events.events, events.unread, events.as_of)
+        self._post(event.ChangesRead(read.read_no, changes, events.as_of, age_s))
 
     async def _read(
         self,
@@ -236,9 +240,15 @@
     return result
 
 
-def _decode(items: typing.Iterable[document.Item]) -> tuple[model.Change, ...]:
-    changes = (document.decode_item(item) for item in items)
-    return tuple(change for change in changes if change is not None)
+def _decode(
+    items: typing.Iterable[document.Item], unread: int, as_of: int
+) -> tuple[model.Change, ...]:
+    """Return the changes that the items make; items that could not be read are one more."""
+    changes = [change for change in map(document.decode_item, items) if change is not None]
+    if unread:
+        reason = f"{unread} items could not be read"
+        changes.append(model.Change(document.UNREAD_KEY, as_of, None, error=reason))
+    return tuple(changes)
 
 
 class CacheHandler(server.Handler):
--- a/tests/platform/test_odd_entry.py
+++ b/tests/platform/test_odd_entry.py
@@ -195,3 +195,40 @@
     blob = f'{{"version": 5, "routes": [{route}], "backends": []}}'.encode()
     item = document.Item("op/config", 5, base64.b64encode(blob).decode())
     assert document.decode_item(item).value is None
+
+
+GOOD_ITEM = b'{"key": "servers/a", "revision": 3, "value": "e30="}'
+#: Items of a page or of a watch that cannot be read.
+ODD_ITEMS = {
+    "surrogate": b'{"key": "servers/\\ud800", "revision": 4, "value": "e30="}',
+    "not_utf8": b'{"key": "servers/\xff", "revision": 4, "value": "e30="}',
+    "number_as_value": b'{"key": "servers/x", "revision": 4, "value": 5}',
+    "no_key": b'{"revision": 4, "value": "e30="}',
+    "null": b"null",
+    "nan": b'{"key": "servers/x", "revision": NaN, "value": "e30="}',
+    "huge_revision": b'{"key": "servers/x", "revision": 1' + b"0" * 30 + b', "value": "e30="}',
+    "unprintable": b'{"key": "servers/x", "revision": 1' + b"0" * 5000 + b', "value": "e30="}',
+    "negative": b'{"key": "servers/x", "revision": -4, "value": "e30="}',
+    "infinite": b'{"key": "servers/x", "revision": 1e999, "value": "e30="}',
+    "wrong_flag": b'{"key": "servers/x", "revision": 4, "value": "e30=", "removed": 7}',
+}
+
+
+@pytest.mark.parametrize("name", sorted(ODD_ITEMS))
+def test_odd_item_does_not_hide_the_others(name):
+    """One of them made the whole listing or watch unreadable, again at each retry."""
+    items = b"[" + ODD_ITEMS[name] + b", " + GOOD_ITEM + b"]"
+    page = document.decode_page(b'{"items": %s, "asOf": 9, "morePages": true}' % items)
+    events = document.decode_events(b'{"events": %s, "asOf": 9}' % items)
+    assert [item.key for item in page.items] == ["servers/a"]
+    assert [item.key for item in events.events] == ["servers/a"]
+    assert (page.unread, events.unread) == (1, 1)
+    assert page.as_of == events.as_of == 9 and page.more_pages
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"asOf": 9}', b'{"items": 5, "asOf": 9}', b'{"items": [], "asOf": 1e999}', b"[1]"]
+)
+def test_odd_envelope_is_a_decode_error(body):
+    with pytest.raises(document.DECODE_ERRORS):
+        document.decode_page(body)
