--- a/hyssopproxy/emulator/store.py
+++ b/hyssopproxy/emulator/store.py
@@ -22,6 +22,7 @@
         self.calls = 0
         self.fault = ""  # refuse (status 503) or silent (no response)
         self.page_items = 500
+        self.encoded_items: dict[int, bytes] = {}  # by revision, sent in place of their items
         self._server = server.Server(self)
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -50,6 +51,11 @@
         self.items[key] = item
         self._add_event(item)
 
+    def put_encoded(self, key: str, encoded: bytes) -> None:
+        """Write an item that responses contain as these bytes, whether they are valid or not."""
+        self.encoded_items[self.revision + 1] = encoded
+        self.put(key, b"")
+
     def remove(self, key: str) -> None:
         """Remove an item."""
         self.revision += 1
@@ -76,7 +82,7 @@
         parts = urllib.parse.urlsplit(request.target.decode())
         query = {key: values[0] for key, values in urllib.parse.parse_qs(parts.query).items()}
         if parts.path == "/v1/kv-range":
-            _reply(connection, self._range(query.get("after", "")))
+            self._reply(connection, "items", self._range(query.get("after", "")))
         elif parts.path == "/v1/kv-watch":
             task = asyncio.get_running_loop().create_task(self._watch(query, connection))
             self._tasks.add(task)
@@ -105,8 +111,12 @@
         if self.fault == "silent":
             return
         events = [item for item in self.events if item["revision"] > after]
-        _reply(connection, {"events": events, "asOf": self.revision})
-
-
-def _reply(connection: server.Connection, value: dict) -> None:
-    connection.reply(message.Response(200, [], msgspec.json.encode(value)))
+        self._reply(connection, "events", {"events": events, "asOf": self.revision})
+
+    def _reply(self, connection: server.Connection, field: str, value: dict) -> None:
+        items = [
+            msgspec.Raw(self.encoded_items.get(item["revision"]) or msgspec.json.encode(item))
+            for item in value[field]
+        ]
+        body = msgspec.json.encode({**value, field: items})
+        connection.reply(message.Response(200, [], body))
