Complete answers without end to no request end the attempt after a few, and 60 faulty leaves at once leave others served

Callers saw: a leaf that sends complete responses with another request's id without end keeps its attempt, and with it the daemon, busy until the attempt times out: other requests took 5 ms instead of 1 to 2 (trial, one leaf).

Cause: a response to an earlier request is skipped, and nothing counted how many; only their heads were limited, so that bodies of 1 MB could go on for some 800 MB. Class: a limit that each new message resets.

Change: after more than 8 skipped responses the exchange fails as garbled. A leaf sends one extra response now and then.

Tests: such answers of 0, 100 and 1 MB, bytes without end after a valid response, and 60 leaves that send all 15 kinds on the connections of 240 callers at once, while searches to other leaves are all answered and the resident memory stays below 200 MB.

--- a/hyssopproxy/emulator/endless.py
+++ b/hyssopproxy/emulator/endless.py
@@ -21,6 +21,15 @@
     "endless_trailers": (_CHUNKED + b"1\r\nx\r\n0\r\n", _LINES),
     "endless_trailer": (_CHUNKED + b"1\r\nx\r\n0\r\nX-Filler: ", _BLOCK),
 }
+#: By name: complete responses to no request, repeated without end.
+ANSWERS = {
+    f"endless_answers_{body_bytes}": _OK
+    + b"Server-Stamp: x.none\r\nRequest-Id: none\r\nContent-Length: %d\r\n\r\n" % body_bytes
+    + b"x" * body_bytes
+    for body_bytes in (0, 100, 1 << 20)
+}
+#: The valid response, followed by bytes without end.
+AFTER = "endless_after"
 #: The same at one byte a second, which no limit on size ends.
 TRICKLE = "trickle"
 
@@ -33,7 +42,7 @@
             writer.write(b"x")
             await writer.drain()
             await asyncio.sleep(1.0)
-    opening, block = RESPONSES[name]
+    opening, block = (b"", ANSWERS[name]) if name in ANSWERS else RESPONSES[name]
     writer.write(opening % headers if b"%b" in opening else opening)
     while True:
         writer.write(block)
--- a/hyssopproxy/emulator/replica.py
+++ b/hyssopproxy/emulator/replica.py
@@ -29,8 +29,8 @@
     extra (a stale response precedes the valid one), unframed (no Content-Length), unsigned (no
     Server-Stamp), cut (the response ends after `cut_bytes`), copy (a second copy of the response
     follows with the next request, or the one after it if `copy_delay` is 1), copy_shed (every other
-    request is shed, and its response follows again with the next one), trickle, or a name of
-    `endless.RESPONSES`.
+    request is shed, and its response follows again with the next one), trickle, endless_after, or a
+    name of `endless.RESPONSES` or `endless.ANSWERS`.
     """
 
     def __init__(self, name: str, records: typing.Sequence[bytes] = ()) -> None:
@@ -137,7 +137,10 @@
         if self.fault == "unframed":
             writer.write(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n" + body)
             return False
-        if self.fault in endless.RESPONSES or self.fault == endless.TRICKLE:
+        if self.fault == endless.AFTER:
+            writer.write(_encode_response(200, headers, body))
+            await endless.send(writer, "endless_garbage", b"")
+        if self.fault in {*endless.RESPONSES, *endless.ANSWERS, endless.TRICKLE}:
             await endless.send(writer, self.fault, lines)
         if self.fault == "cut":
             writer.write(_encode_response(200, headers, body)[: self.cut_bytes])
--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -4,7 +4,7 @@
 that belong to no request make the connection unusable for further requests.
 
 Handles servers in trouble: responses that are cut, doubled or garbled, and bytes that arrive
-without end, in a head, a body or its framing.
+without end, in a head, a body or its framing, or as complete responses to no request.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 
 DEFAULT_IDLE_S = 8.0  # idle timeout assumed when the server's Keep-Alive header states none
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
+MAX_SKIPPED = 8  # responses to earlier requests that are dropped while a request is in flight
 MAX_IDLE_S = 3600.0
 IDLE_MARGIN_S = 0.6  # reuse ends this long before the server's idle timeout (network delay)
 
@@ -57,6 +58,7 @@
         self._headers: message.Headers = []
         self._header_bytes = 0
         self._overhead_bytes = 0  # heads and framing of the response, apart from its body
+        self._skipped = 0  # responses to earlier requests, since the request was sent
         self._body = bytearray()
         self._received_body_bytes = 0  # of all responses on this connection
         self._has_headers = False
@@ -100,6 +102,7 @@
         self._accepts = accepts
         self._has_response_body = has_response_body
         self._overhead_bytes = 0
+        self._skipped = 0
         self._transport.write(data)
 
     def close(self) -> None:
@@ -221,7 +224,8 @@
             self._must_close = True
         if self._accepts is not None and not self._accepts(response):
             self._must_close = True  # response to an earlier request; the expected one follows
-            if not self._parser.should_keep_alive():
+            self._skipped += 1
+            if not self._parser.should_keep_alive() or self._skipped > MAX_SKIPPED:
                 self._finish(None, Failure.GARBLED)
             return
         self._update_expiry(response)
--- a/tests/platform/test_faulty_leaf.py
+++ b/tests/platform/test_faulty_leaf.py
@@ -11,6 +11,7 @@
 from hyssopproxy.engine import membership
 
 MAX_GROWTH_BYTES = 40 << 20
+MAX_RESIDENT_BYTES = 200 << 20  # well below what a process may use
 
 
 def leaves_of(site, pool):
@@ -42,6 +43,98 @@
     sites.run_scenario(scenario, timeoutMs=2500)
 
 
+def answer_lines(daemon):
+    return [line for line in daemon.log if line["event"] == "answer_garbled"]
+
+
+@pytest.mark.parametrize("name", [*sorted(endless.ANSWERS), endless.AFTER])
+def test_answers_without_end_belong_to_no_request_and_end_the_attempt(name):
+    """Complete responses to no request, or any bytes after the response."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        await asyncio.sleep(membership.SETTLE_S + 0.2)  # until then the retry budget has no slack
+        await site.get(daemon)
+        before = memory.resident_bytes(daemon.process.pid)
+        faulty = [leaves_of(site, "p")[0], leaves_of(site, "s0")[0]]
+        for leaf in faulty:
+            leaf.fault = name
+        peak = before
+        for _ in range(8):
+            replies = await asyncio.gather(
+                site.get(daemon, "/p/x", 2500), site.get(daemon, "/s/x", 2500)
+            )
+            assert [reply.status for reply in replies] == [200, 200]
+            assert b"x.none" not in (replies[1].get_header(b"part-stamps") or b"")
+            peak = max(peak, memory.resident_bytes(daemon.process.pid))
+        assert peak - before < MAX_GROWTH_BYTES
+        if name != endless.AFTER:
+            # A request to a faulty leaf ends by the count of its answers, not by its timeout.
+            lines = await sites.wait_for(lambda: answer_lines(daemon), "the end of the attempt")
+            assert {line["reason"] for line in lines} == {"garbled"}
+            assert "hyssopproxy_attempts_timeout_total" not in await site.metrics(daemon)
+
+        def has_closed():
+            return sum(leaf.counters["connections_broken"] for leaf in faulty)
+
+        await sites.wait_for(has_closed, "the end of a connection")
+
+    sites.run_scenario(scenario, timeoutMs=2500)
+
+
+@pytest.mark.parametrize("callers", [240])
+def test_endless_responses_of_sixty_leaves_leave_the_others_served(callers):
+    """Each of sixty leaves sends without end, each kind of bytes, on many connections at once."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        await asyncio.sleep(membership.SETTLE_S + 0.2)  # until then the retry budget has no slack
+        await site.get(daemon)
+        names = [*sorted(endless.RESPONSES), *sorted(endless.ANSWERS), endless.AFTER]
+        for leaf, name in zip(leaves_of(site, "p"), itertools.cycle(names), strict=False):
+            leaf.fault = name
+        peak = 0
+        is_over = asyncio.Event()
+
+        async def search():
+            """Send requests to the other leaves until the faulty ones have been called."""
+            statuses = []
+            while not is_over.is_set():
+                statuses.append((await site.get(daemon, "/s/x", 10000)).status)
+            return statuses
+
+        async def watch_memory():
+            nonlocal peak
+            while not is_over.is_set():
+                peak = max(peak, memory.resident_bytes(daemon.process.pid))
+                await asyncio.sleep(0.005)
+
+        others = [asyncio.create_task(search()) for _ in range(4)]
+        watcher = asyncio.create_task(watch_memory())
+        for _ in range(3):
+            replies = await asyncio.gather(
+                *(site.get(daemon, "/p/x", 3000) for _ in range(callers))
+            )
+            assert {reply.status for reply in replies} <= {200, 502, 503, 504}
+        is_over.set()
+        await watcher
+        statuses = [status for task in others for status in await task]
+        assert set(statuses) == {200} and len(statuses) >= 4
+        assert peak < MAX_RESIDENT_BYTES
+        assert daemon.process.returncode is None
+        metrics = await site.metrics(daemon)
+        assert metrics["hyssopproxy_attempts_garbled_total"] >= 60
+        assert not [line for line in daemon.log if line["event"] == "internal_error"]
+
+    async def run():
+        async with sites.running(timeoutMs=3000) as site:
+            for _ in range(58):
+                await site.add_leaf("p", zone="a")
+            await scenario(site)
+
+    asyncio.run(run())
+
+
 def test_response_of_one_byte_a_second_ends_at_the_route_timeout():
     async def scenario(site):
         for leaf in leaves_of(site, "p"):
