--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -4,7 +4,7 @@
 that belong to no request make the connection unusable for further requests.
 
 Handles servers in trouble: responses that are cut, doubled or garbled, and bytes that arrive
-without end, in a head, a body or its framing.
+without end, in a head, a body or its framing, or as complete responses to no request.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 
 DEFAULT_IDLE_S = 8.0  # idle timeout assumed when the server's Keep-Alive header states none
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
+MAX_SKIPPED = 8  # responses to earlier requests that are dropped while a request is in flight
 MAX_IDLE_S = 3600.0
 IDLE_MARGIN_S = 0.6  # reuse ends this long before the server's idle timeout (network delay)
 
@@ -57,6 +58,7 @@
         self._headers: message.Headers = []
         self._header_bytes = 0
         self._overhead_bytes = 0  # heads and framing of the response, apart from its body
+        self._skipped = 0  # responses to earlier requests, since the request was sent
         self._body = bytearray()
         self._received_body_bytes = 0  # of all responses on this connection
         self._has_headers = False
@@ -100,19 +102,19 @@
         self._accepts = accepts
         self._has_response_body = has_response_body
         self._overhead_bytes = 0
+        self._skipped = 0
         self._transport.write(data)
 
     def close(self) -> None:
         """Abort the connection without calling the callback."""
         self._callback = None
-        self._account.release(self)
+        self._release_buffer()
         if self._transport is not None:
             self._transport.abort()
 
     def drop_buffer(self) -> None:
         """End the exchange because all connections together buffer too much."""
         self._must_close = True
-        self._body.clear()
         self._finish(None, Failure.TOO_LARGE)
         self.close()
 
@@ -155,6 +157,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._parser = None  # ends the reference cycle, so that the memory is freed at once
         self._finish(None, Failure.RESET)
 
     def _is_close_delimited(self) -> bool:
@@ -221,7 +224,8 @@
             self._must_close = True
         if self._accepts is not None and not self._accepts(response):
             self._must_close = True  # response to an earlier request; the expected one follows
-            if not self._parser.should_keep_alive():
+            self._skipped += 1
+            if not self._parser.should_keep_alive() or self._skipped > MAX_SKIPPED:
                 self._finish(None, Failure.GARBLED)
             return
         self._update_expiry(response)
@@ -237,8 +241,14 @@
         self._last_used_at = clock.read()
         self._expires_at = self._last_used_at + max(0.2, idle_s - IDLE_MARGIN_S)
 
-    def _finish(self, response: message.Response | None, failure: Failure | None) -> None:
+    def _release_buffer(self) -> None:
+        """Free what is buffered: the connection itself is freed only by the garbage collector."""
         self._account.release(self)
+        self._headers = []
+        self._body = bytearray()
+
+    def _finish(self, response: message.Response | None, failure: Failure | None) -> None:
+        self._release_buffer()
         callback, self._callback = self._callback, None
         if callback is not None:
             callback(response, failure)
