Test of odd entries: leaves that don't exist have a loopback address

Its odd entries named 10.0.0.1:80, and daemons connected there: on this machine something answers (the attempt ended as garbled, by the log), on the one of an operator it may be anybody. Tests talk to loopback addresses only.

--- a/tests/platform/test_odd_entry.py
+++ b/tests/platform/test_odd_entry.py
@@ -23,7 +23,7 @@
 
 FIELDS = {
     "backend": "p",
-    "address": "10.0.0.1:80",
+    "address": "127.255.255.254:9",  # nothing listens there
     "zone": "a",
     "maxConcurrency": 6,
     "state": "ready",
