A caller that reads its last response slowly gets all of it

What callers saw: a response that says Connection: close, as every response of a stopping daemon does, was cut 1 s after it was begun if the caller had not read it by then. A planned stop can so cut requests that have run (LOST), and any caller that asks for Connection: close meets it at all times.

Cause: the time that a half-closed connection lingers, for the caller to close its side, ran from the first byte of the response and not from its last. Class: a bound meant for the end of an exchange, measured from its start.

Evidence: test_caller_that_reads_its_last_response_slowly_gets_all_of_it failed before with 3919872 of 8388608 bytes received; it passes now.

Change: the lingering time starts when the whole response has left the process. Until then the idle timeout holds, as for kept connections; test_caller_that_does_not_read_its_last_response_is_aborted shows that it still ends (it passed before, too).

Why it works: the connection is only aborted with an empty write buffer, and the kernel sends what it has taken even after that.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -276,14 +276,16 @@
             return
         limits = self._handler.limits
         age = now - self._last_progress_at
-        if self._abort_at is not None:
-            if now > self._abort_at:
-                self._transport.abort()
-        elif self._current is not None:
+        if self._current is not None:
             return
-        elif self._transport.get_write_buffer_size():
+        if self._transport.get_write_buffer_size():
+            if self._abort_at is not None:
+                self._abort_at = now + LINGER_S  # the caller has not read all of the response yet
             if age > limits.idle_timeout_s + IDLE_GRACE_S:
                 self._transport.abort()  # closing would wait for a caller that does not read
+        elif self._abort_at is not None:
+            if now > self._abort_at:
+                self._transport.abort()
         elif self._is_reading or self._head_bytes:
             if age > limits.header_timeout_s:
                 self._reject(408, "request not complete in time")
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -227,3 +227,34 @@
 
     handler_limits = limit.Limits(idle_timeout_s=WAIT_S)
     run_with_server(scenario, limits=handler_limits)
+
+
+def test_caller_that_reads_its_last_response_slowly_gets_all_of_it():
+    """A planned stop: the last response of a connection was cut a second after it was begun."""
+
+    async def scenario(handler, server, port):
+        handler.response_bytes = 8 << 20
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        received_bytes = len(await reader.read(1024))
+        await asyncio.sleep(servers.LINGER_S + 2 * servers.TIMEOUT_CHECK_S)
+        while chunk := await reader.read(1 << 20):
+            received_bytes += len(chunk)
+        writer.close()
+        assert received_bytes > handler.response_bytes
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=WAIT_S))
+
+
+def test_caller_that_does_not_read_its_last_response_is_aborted():
+    async def scenario(handler, server, port):
+        handler.response_bytes = 8 << 20
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        while server.connections:
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    run_with_server(scenario)
