Idle connections are closed once a stopping daemon no longer accepts

Cause: idle connections were closed by the last step of the stop only, which waits for every request. Class: the last step of a stop did what is due when accepting ends.

Evidence: test_idle_connections_are_closed_once_accepting_stops timed out before; it passes now.

Change: once the listener is closed (3 s after SIGTERM, when the balancer has failed over), the periodic check also closes idle connections, with the same guard against requests that have arrived unread.

Why it works: a caller whose idle connection is closed sends its next request to another daemon.

--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -132,7 +132,7 @@
 
 @attrs.frozen
 class StopAccepting:
-    """Close the listener; connections that the kernel has accepted are served."""
+    """Close the listener; connections that the kernel has accepted are served, idle ones closed."""
 
 
 @attrs.frozen
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -343,12 +343,15 @@
         now = clock.read()
         for connection in list(self.connections):
             connection.check_timeouts(now)
+            if self._listener.fileno() < 0:
+                connection.close_if_idle(now)
         loop = asyncio.get_running_loop()
         self._timeout_timer = loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
 
     def stop_accepting(self) -> None:
         """Accept what the kernel has accepted already, then close the listener.
 
+        From then on, idle connections are closed, so that their callers send to another server.
         Closing a listener resets the connections that wait in its backlog.
         """
         if self._server is None or self._listener.fileno() < 0:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -258,3 +258,17 @@
         writer.close()
 
     run_with_server(scenario)
+
+
+def test_idle_connections_are_closed_once_accepting_stops():
+    """A planned stop: idle connections took requests as long as others were busy."""
+
+    async def scenario(handler, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b" 200 " in await reader.readline()
+        server.stop_accepting()
+        assert (await reader.read()).endswith(b"\r\n\r\n")
+        writer.close()
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=100 * WAIT_S))
