A stopping daemon sends nothing to a target that cannot finish before its end

One that must not be repeated got a 502 after up to 2.5 s, which promises nothing, though it could have run elsewhere.

Cause: until 0.5 s before SIGKILL every request was passed on, shed requests sent again and hedges sent, whatever they take. Class: decisions to send that look at the caller's time but not at the daemon's.

New requests that cannot finish are refused at once as not run (503, Retry-After, reason "stopping"). Requests that can finish still run.

Why it works: the refusal is decided before anything is sent, and the caller retries at another daemon.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -21,6 +21,21 @@
     return since is not None and now - since >= state.settings.stop_grace_s - KILL_MARGIN_S
 
 
+def can_finish(state: states.State, query: states.Query, now: float) -> bool:
+    """Return whether an attempt sent now will plausibly end before a stopping daemon does.
+
+    Assumes a high quantile of the route's latency, for a request that must not be repeated at least
+    the objective, and for every request no more than its own time.
+    """
+    if state.stopping_since is None:
+        return True
+    route = query.route
+    latency_s = state.statistics(route).latency.read()
+    if latency_s is None or not route.is_idempotent:
+        latency_s = max(latency_s or 0.0, route.objective_s)
+    return not is_kill_near(state, min(now + latency_s, query.deadline))
+
+
 def refuse_new(
     state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
 ) -> None:
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -50,6 +50,9 @@
     if not _can_reach_least_coverage(state, query, now):
         answer.refuse_new(state, arrived, Refusal.COVERAGE_TOO_LOW, now, out)
         return
+    if not answer.can_finish(state, query, now):
+        answer.refuse_new(state, arrived, Refusal.STOPPING, now, out)
+        return
     state.queries[query.number] = query
     for part in query.parts:
         _record_first_attempt(state, part.pool, now)
@@ -131,6 +134,10 @@
     if part.runs >= route.max_attempts or (not route.is_idempotent and part.runs):
         _give_up(part, "attempts_used")
         return
+    if not answer.can_finish(state, query, now):
+        part.reason = f"{part.reason} stopping".strip()
+        _give_up(part, "stopping")
+        return
     reason = "retry_budget"
     if not part.may_have_arrived or has_budget(state, part.pool, now, is_hedge=False):
         reason = "no_target"
@@ -328,6 +335,9 @@
     if not route.is_idempotent or part.runs >= route.max_attempts:
         part.reason = "attempts_used"
         return
+    if not answer.can_finish(state, part.query, now):
+        part.reason = "stopping"
+        return
     if not has_budget(state, part.pool, now, is_hedge=True):
         state.counters["hedges_over_budget"] += 1
         part.reason = "hedge_budget"
--- a/tests/engine/test_lifecycle.py
+++ b/tests/engine/test_lifecycle.py
@@ -1,15 +1,45 @@
 import attrs
+import pytest
 
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
+from hyssopproxy.engine import model
 from tests.engine import world as worlds
 
+SLOW_S = 1.5  # time that a request takes at a slow target
+LATE_S = 4.6  # after SIGTERM; the time that is left is less than `SLOW_S`
+
 
 def effect_types(world):
     return [type(item) for item in world.effects]
 
 
+def sends_of(world, number):
+    return [
+        item for item in world.effects if isinstance(item, effect.Send) and item.query_no == number
+    ]
+
+
+def set_replicas(world, **fields):
+    for replica in world.replicas.values():
+        for name, value in fields.items():
+            setattr(replica, name, value)
+
+
+def make_stopping_world(is_idempotent, elapsed_s, service_time_s, **fields):
+    """Return a world of known latency that got SIGTERM some time ago and is kept from ending."""
+    world = worlds.make_plain_world(
+        members=7, seconds=3.0, is_idempotent=is_idempotent, timeout_s=8.0, **fields
+    )
+    set_replicas(world, service_time_s=service_time_s)
+    world.send_load(10, 3.0, path="/p/x", time_left_s=8.0)
+    world.run(3.0)
+    world.post(event.StopRequested())
+    world.run(elapsed_s)
+    return world
+
+
 def test_daemon_is_ready_once_it_has_configuration_and_targets():
     world = worlds.World()
     assert lifecycle.unready_reason(world.state, world.now) == "no_configuration"
@@ -60,3 +90,68 @@
     changed = attrs.evolve(world.state.settings, seeds=("10.4.4.4:1",))
     world.post(event.SettingsChanged(changed))
     assert world.state.settings.seeds == ("10.4.4.4:1",)
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_request_that_cannot_finish_before_the_end_is_refused_at_once_and_not_sent(is_idempotent):
+    """Issue 25: requests that came late in the grace were passed on and cut at its end."""
+    world = make_stopping_world(is_idempotent, LATE_S, SLOW_S)
+    number = world.send_request("/p/x", 8.0)
+    refused = world.results[number].effect
+    assert refused.reason is model.Refusal.STOPPING and refused.is_not_run
+    assert refused.retry_after_s > 0 and sends_of(world, number) == []
+    logs = [log.fields for log in world.effects if isinstance(log, effect.Log)]
+    assert [log["reason"] for log in logs if "reason" in log][-1] == "stopping"
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_request_of_unknown_latency_is_given_its_objective_before_the_end(is_idempotent):
+    world = worlds.make_plain_world(is_idempotent=is_idempotent, timeout_s=8.0, objective_s=1.0)
+    world.post(event.StopRequested())
+    world.run(4.0)
+    early = world.send_request("/p/x", 8.0)
+    world.run(0.6)
+    late = world.send_request("/p/x", 8.0)
+    assert isinstance(world.results[early].effect, effect.Deliver)
+    assert world.results[late].effect.is_not_run and sends_of(world, late) == []
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_request_that_can_finish_before_the_end_runs(is_idempotent):
+    world = make_stopping_world(is_idempotent, LATE_S, 0.02)
+    number = world.send_request("/p/x", 8.0)
+    world.run(0.5)
+    assert isinstance(world.results[number].effect, effect.Deliver)
+
+
+def test_request_whose_own_deadline_is_before_the_end_runs():
+    world = make_stopping_world(False, LATE_S, SLOW_S)
+    number = world.send_request("/p/x", 0.5)
+    assert len(sends_of(world, number)) == 1
+
+
+@pytest.mark.parametrize("outcome", [model.Outcome.SHED, model.Outcome.CONNECT])
+def test_request_that_did_not_run_is_not_sent_again_if_it_cannot_finish(outcome):
+    world = make_stopping_world(False, 2.9, SLOW_S)
+    set_replicas(world, fixed_outcome=outcome, network_delay_s=1.0)
+    number = world.send_request("/p/x", 8.0)
+    world.run(1.5)
+    refused = world.results[number].effect
+    assert refused.is_not_run and len(sends_of(world, number)) == 1
+
+
+def test_hedge_that_cannot_finish_is_not_sent():
+    world = make_stopping_world(True, 4.8, 0.3)
+    set_replicas(world, is_silent=True)
+    number = world.send_request("/p/x", 8.0)
+    world.run(1.0)
+    assert len(sends_of(world, number)) == 1
+    assert not world.results[number].effect.is_not_run
+
+
+def test_request_that_waits_for_a_target_is_refused_as_not_run_at_the_end():
+    world = make_stopping_world(False, 4.0, 0.02, objective_s=20.0)
+    set_replicas(world, fixed_outcome=model.Outcome.SHED)
+    number = world.send_request("/p/x", 8.0)
+    world.run(2.0)
+    assert world.results[number].effect.is_not_run
