A request cut by the end of a stop is logged as such

What operators saw: requests that a stopping daemon gave up at its end were logged as target_failed or no_target.

Cause: the reason was derived from the attempts alone. Class: a log line that blames a target for the daemon's own decision.

Evidence: test_request_at_work_at_the_end_is_answered_without_a_promise failed before with no_target; it passes now.

Change: at the end of a stop the reason is "stopping". The status doesn't change: 503 if nothing has run, else 502.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -79,6 +79,8 @@
 def _refuse(state: states.State, query: states.Query, now: float, out: list) -> None:
     if now >= query.deadline:
         reason = Refusal.DEADLINE_EXCEEDED
+    elif is_kill_near(state, now):
+        reason = Refusal.STOPPING
     elif query.route.is_search:
         reason = Refusal.COVERAGE_TOO_LOW
     elif any(part.may_have_arrived for part in query.parts):
--- a/tests/engine/test_lifecycle.py
+++ b/tests/engine/test_lifecycle.py
@@ -40,6 +40,15 @@
     return world
 
 
+def run_until_ended(world):
+    """Run until the process has ended."""
+    for _ in range(1000):
+        if effect.EndProcess in effect_types(world):
+            return
+        world.run(lifecycle.TICK_S)
+    raise AssertionError("the process has not ended")
+
+
 def test_daemon_is_ready_once_it_has_configuration_and_targets():
     world = worlds.World()
     assert lifecycle.unready_reason(world.state, world.now) == "no_configuration"
@@ -155,3 +164,12 @@
     number = world.send_request("/p/x", 8.0)
     world.run(2.0)
     assert world.results[number].effect.is_not_run
+
+
+def test_request_at_work_at_the_end_is_answered_without_a_promise():
+    world = make_stopping_world(False, 2.9, 0.02)
+    set_replicas(world, is_silent=True)
+    number = world.send_request("/p/x", 8.0)
+    run_until_ended(world)
+    assert not world.results[number].effect.is_not_run
+    assert world.results[number].effect.reason is model.Refusal.STOPPING
