A daemon with a short grace closes its listener before it ends

What callers would see: with a graceS of 3.5 s or less, the process ended with its listener open, which resets the connections in its backlog.

Cause: accepting stopped 3 s after SIGTERM only, and the end came before. Class: a step of the stop that depends on a fixed time and not on the time that is left.

Evidence: test_every_request_is_answered_and_accepting_stops_before_the_end failed before with a graceS of 0, 0.3, 1 and 2 (StopAccepting missing); all 5 cases pass now.

Change: accepting stops at the latest when all requests are answered, before the process ends.

--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -83,10 +83,11 @@
     if state.stopping_since is None:
         return
     elapsed_s = now - state.stopping_since
-    if elapsed_s >= ACCEPT_GRACE_S and not state.has_stopped_accepting:
+    is_kill_near = answer.is_kill_near(state, now)
+    if (elapsed_s >= ACCEPT_GRACE_S or is_kill_near) and not state.has_stopped_accepting:
         state.has_stopped_accepting = True
         out.append(effect.StopAccepting())
-    if answer.is_kill_near(state, now):
+    if is_kill_near:
         answer.finish_all(state, now, out)
     elif not state.has_stopped_accepting or state.queries:
         return
--- a/tests/engine/test_lifecycle.py
+++ b/tests/engine/test_lifecycle.py
@@ -1,6 +1,7 @@
 import attrs
 import pytest
 
+from hyssopproxy.engine import answer
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
@@ -158,6 +159,29 @@
     assert not world.results[number].effect.is_not_run
 
 
+@pytest.mark.parametrize("grace_s", [0.0, 0.3, 1.0, 2.0, 6.0])
+def test_every_request_is_answered_and_accepting_stops_before_the_end(grace_s):
+    """A short grace ended the process with its listener open, which resets its backlog."""
+    world = worlds.World(stop_grace_s=grace_s)
+    world.add_pool("p", is_silent=True)
+    world.publish_routes(worlds.plain_route(is_idempotent=False, timeout_s=60.0))
+    world.start()
+    world.run(1.0)
+    numbers = [world.send_request("/p/x", 60.0) for _ in range(5)]
+    world.post(event.StopRequested())
+    stopped_at = world.now
+    run_until_ended(world)
+    assert world.now - stopped_at <= max(lifecycle.TICK_S, grace_s - answer.KILL_MARGIN_S + 0.1)
+    types = effect_types(world)
+    assert types.index(effect.StopAccepting) < types.index(effect.EndProcess)
+    for number in numbers:
+        refused = world.results[number].effect
+        assert not refused.is_not_run
+        assert world.effects.index(refused) < types.index(effect.EndProcess)
+    late = world.send_request("/p/x", 60.0)
+    assert world.results[late].effect.is_not_run and sends_of(world, late) == []
+
+
 def test_request_that_waits_for_a_target_is_refused_as_not_run_at_the_end():
     world = make_stopping_world(False, 4.0, 0.02, objective_s=20.0)
     set_replicas(world, fixed_outcome=model.Outcome.SHED)
