SIGKILL is expected after the grace that held at SIGTERM

What callers would see: if the settings file changes during a stop and names a longer grace, requests are cut by SIGKILL without an answer.

Cause: the end of the stop was computed from the settings of the moment; a platform that has sent SIGTERM has chosen the time of its SIGKILL already. Class: a deadline that is computed anew from values that may change.

Change: the state has the time of the expected SIGKILL, set at SIGTERM; changed settings can only bring it forward.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -17,8 +17,7 @@
 
 def is_kill_near(state: states.State, now: float) -> bool:
     """Return whether a stopping daemon has to answer all requests now."""
-    since = state.stopping_since
-    return since is not None and now - since >= state.settings.stop_grace_s - KILL_MARGIN_S
+    return now >= state.kill_at - KILL_MARGIN_S
 
 
 def can_finish(state: states.State, query: states.Query, now: float) -> bool:
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -70,15 +70,24 @@
     if changed.settings != state.settings:
         state.settings = changed.settings
         out.append(effect.Log("settings", {"seeds": list(changed.settings.seeds)}))
+        _update_kill_time(state)
 
 
 def handle_stop(state: states.State, stop: event.StopRequested, now: float, out: list) -> None:
     """Become unready and start the shutdown; requests are still accepted and answered."""
     if state.stopping_since is None:
         state.stopping_since = now
+        _update_kill_time(state)
         out.append(effect.Log("stopping", {"requests": len(state.queries)}, is_urgent=True))
 
 
+def _update_kill_time(state: states.State) -> None:
+    """Expect SIGKILL after the shortest grace that has held since SIGTERM."""
+    if state.stopping_since is not None:
+        kill_at = state.stopping_since + state.settings.stop_grace_s
+        state.kill_at = min(state.kill_at, kill_at)
+
+
 def _stop_when_due(state: states.State, now: float, out: list) -> None:
     if state.stopping_since is None:
         return
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -232,6 +232,7 @@
     heartbeat: int = 0
     next_gossip_at: float = NEVER
     stopping_since: float | None = None
+    kill_at: float = float("inf")  # when SIGKILL is expected after SIGTERM
     has_stopped_accepting: bool = False
     has_ended: bool = False  # `EndProcess` has been returned
     unready_reason: str = ""  # empty while ready
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -212,9 +212,7 @@
 
 async def _drain(runtime: runtimes.Runtime) -> None:
     """Wait until callers have received their responses, at most until shortly before SIGKILL."""
-    state = runtime.state
-    stopped_for_s = clock.read() - state.stopping_since
-    left_s = state.settings.stop_grace_s - EXIT_MARGIN_S - stopped_for_s
+    left_s = runtime.state.kill_at - EXIT_MARGIN_S - clock.read()
     cut = await runtime.front.drain(max(0.0, left_s))
     if cut:
         fields = {"connections": cut}
--- a/tests/engine/test_lifecycle.py
+++ b/tests/engine/test_lifecycle.py
@@ -182,6 +182,25 @@
     assert world.results[late].effect.is_not_run and sends_of(world, late) == []
 
 
+def test_grace_that_grows_during_the_stop_does_not_delay_the_end():
+    """SIGKILL comes when the grace that held at SIGTERM is over."""
+    world = make_stopping_world(False, 1.0, SLOW_S)
+    set_replicas(world, is_silent=True)
+    number = world.send_request("/p/x", 8.0)
+    world.post(event.SettingsChanged(attrs.evolve(world.state.settings, stop_grace_s=60.0)))
+    world.run(4.7)
+    assert number in world.results and effect.EndProcess in effect_types(world)
+
+
+def test_grace_that_shrinks_during_the_stop_ends_it_sooner():
+    world = make_stopping_world(False, 1.0, SLOW_S)
+    set_replicas(world, is_silent=True)
+    number = world.send_request("/p/x", 8.0)
+    world.post(event.SettingsChanged(attrs.evolve(world.state.settings, stop_grace_s=2.0)))
+    world.run(0.7)
+    assert number in world.results and effect.EndProcess in effect_types(world)
+
+
 def test_request_that_waits_for_a_target_is_refused_as_not_run_at_the_end():
     world = make_stopping_world(False, 4.0, 0.02, objective_s=20.0)
     set_replicas(world, fixed_outcome=model.Outcome.SHED)
