Responses close their connections from the signal on

What callers saw: up to 50 ms after SIGTERM, responses did not say Connection: close, so callers kept connections to a stopping daemon and sent late requests on them; a refusal as stopping could keep its connection, too.

Cause: what a response says follows from the readiness that the last tick found. Class: a decision that takes effect at the next tick and not with its event.

Evidence: test_responses_close_their_connections_from_the_signal_on failed before; it passes now.

Change: the readiness is updated with the event that starts the stop.

--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -79,6 +79,7 @@
         state.stopping_since = now
         _update_kill_time(state)
         out.append(effect.Log("stopping", {"requests": len(state.queries)}, is_urgent=True))
+        _log_readiness_change(state, now, out)
 
 
 def _update_kill_time(state: states.State) -> None:
--- a/tests/engine/test_lifecycle.py
+++ b/tests/engine/test_lifecycle.py
@@ -58,6 +58,13 @@
     assert lifecycle.unready_reason(world.state, world.now) == ""
 
 
+def test_responses_close_their_connections_from_the_signal_on():
+    """Responses sent before the next tick kept their connections, which then took late requests."""
+    world = worlds.make_search_world()
+    world.post(event.StopRequested())
+    assert world.state.unready_reason == "stopping"
+
+
 def test_stopping_daemon_is_unready_and_accepts_requests_until_the_balancer_fails_over():
     world = worlds.make_search_world()
     world.post(event.StopRequested())
