Pipelined requests that have arrived are answered before the connection is closed

What callers saw: of 20 requests pipelined behind one that was at work at the end of a stop, 10 were answered; the rest ended with the connection although they had reached the daemon seconds before.

Cause: reading pauses 8 requests ahead; the response to the last one read said Connection: close while others waited in the socket. Class: a close that looks at the requests that were read, not at those that have arrived.

Evidence: test_pipelined_requests_that_have_arrived_are_answered_before_the_close failed before with 10 of 24 answered; it passes now.

Change: before a response closes the connection, the socket is checked for unread input, as the drain already did. A caller that asked for the close itself still gets it.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -228,16 +228,21 @@
             self._transport.pause_reading()
 
     def reply(self, response: message.Response, keep_alive: bool = True) -> None:
-        """Send the response to the request in progress."""
+        """Send the response to the request in progress.
+
+        Even without `keep_alive`, the connection is kept while it has more requests to answer.
+        """
         if self._transport is None or self._current is None:
             return
         has_body = self._current.method != b"HEAD"
-        keep_alive = keep_alive and self._keep_alive or bool(self._pending)
+        keep_alive = (
+            bool(self._pending) or self._keep_alive and (keep_alive or self._has_unread_input())
+        )
         self._current = None
         self._last_progress_at = clock.read()
         self._transport.write(message.encode_response(response, keep_alive, has_body))
         self._account.update(self, self._transport.get_write_buffer_size())
-        if not keep_alive and not self._pending and self._error is None:
+        if not keep_alive and self._error is None:
             self._half_close()
             return
         if self._is_paused:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -272,3 +272,27 @@
         writer.close()
 
     run_with_server(scenario, limits=limit.Limits(idle_timeout_s=100 * WAIT_S))
+
+
+def test_pipelined_requests_that_have_arrived_are_answered_before_the_close():
+    """Requests that were sent far ahead of a response that closes the connection got none."""
+
+    async def scenario(handler, server, port):
+        connections = []
+        handler.handle = lambda request, connection: connections.append(connection)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        sender = writer.get_extra_info("socket").dup()
+        for _ in range(3 * servers.MAX_PIPELINED):
+            sender.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+        answered = 0
+        while connections:
+            while connections:
+                connections.pop().reply(message.Response(503, []), keep_alive=False)
+                answered += 1
+            await asyncio.sleep(0.1)
+        assert answered == 3 * servers.MAX_PIPELINED
+        assert (await reader.read()).count(b"HTTP/1.1 503") == answered
+        writer.close()
+
+    run_with_server(scenario)
