--- a/bench/site.py
+++ b/bench/site.py
@@ -90,6 +90,7 @@
         self.leaves: dict[str, replicas.Replica] = {}
         self.daemons: list[Daemon] = []
         self.version = 1
+        self.grace_s = 6.0  # between SIGTERM and SIGKILL, for settings written from now on
         self._ids = itertools.count(1)
         self.last_request_id = b""
         self._directory = tempfile.TemporaryDirectory()
@@ -179,7 +180,8 @@
             f'readinessAddr = "{daemon.host}:{ports["ready"]}"\n'
             f'control = "{daemon.host}:{ports["control"]}"\n'
             f'[platform]\naddress = "{self.store_address}"\n'
-            "[bounds]\nretryRatio = 0.2\nretrySlack = 56\nretryWindowS = 10\ngraceS = 6\n"
+            "[bounds]\nretryRatio = 0.2\nretrySlack = 56\nretryWindowS = 10\n"
+            f"graceS = {self.grace_s}\n"
         )
         # Replaced as a whole, since a daemon that is starting may read the file at any moment.
         new_path = f"{daemon.settings_path}.new"
