Callers that keep their connection after the last response are not logged as cut

What operators saw: connections_cut at the end of a stop, though every response had been sent.

Cause: a connection that lingers, for the caller to close its side, counted as one with a request. Class: a log line that reports a loss where there is none.

Evidence: test_drain_does_not_count_callers_that_keep_their_connection_after_the_last_response failed before with 1 and passes now; test_drain_counts_callers_that_have_not_read_their_response passes before and after.

Change: what is counted is a request or an unsent response. How long the drain waits doesn't change.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -262,6 +262,11 @@
             or self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether all responses have been sent and only the caller's close is awaited."""
+        return self._abort_at is not None and self._transport.get_write_buffer_size() == 0
+
     def close_if_idle(self, now: float) -> None:
         """Close the connection unless it is busy or its caller may be sending a request."""
         is_new = self._message_no == 0 and now - self._last_progress_at < FIRST_REQUEST_S
@@ -376,8 +381,8 @@
     async def drain(self, timeout_s: float) -> int:
         """Wait until no connection has a request or may be about to send its first one.
 
-        Close idle connections meanwhile. Return the number of connections that are still busy when
-        the time is over.
+        Close idle connections meanwhile. Return the number of connections that are cut, as they
+        have a request or an unsent response when the time is over.
         """
         deadline = clock.read() + timeout_s
         while True:
@@ -385,5 +390,8 @@
             for connection in list(self.connections):
                 connection.close_if_idle(now)
             if now >= deadline or not (self.connections or self._accept_tasks):
-                return sum(connection.is_busy for connection in self.connections)
+                return sum(
+                    connection.is_busy and not connection.is_lingering
+                    for connection in self.connections
+                )
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -296,3 +296,29 @@
         writer.close()
 
     run_with_server(scenario)
+
+
+def test_drain_does_not_count_callers_that_keep_their_connection_after_the_last_response():
+    async def scenario(handler, server, port):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        assert server.connections
+        assert await server.drain(0.0) == 0
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_drain_counts_callers_that_have_not_read_their_response():
+    async def scenario(handler, server, port):
+        handler.response_bytes = 32 << 20
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        assert await server.drain(0.0) == 1
+        writer.close()
+
+    run_with_server(scenario)
