--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -17,8 +17,22 @@
 
 def is_kill_near(state: states.State, now: float) -> bool:
     """Return whether a stopping daemon has to answer all requests now."""
-    since = state.stopping_since
-    return since is not None and now - since >= state.settings.stop_grace_s - KILL_MARGIN_S
+    return now >= state.kill_at - KILL_MARGIN_S
+
+
+def can_finish(state: states.State, query: states.Query, now: float) -> bool:
+    """Return whether an attempt sent now will plausibly end before a stopping daemon does.
+
+    Assumes a high quantile of the route's latency, for a request that must not be repeated at least
+    the objective, and for every request no more than its own time.
+    """
+    if state.stopping_since is None:
+        return True
+    route = query.route
+    latency_s = state.statistics(route).latency.read()
+    if latency_s is None or not route.is_idempotent:
+        latency_s = max(latency_s or 0.0, route.objective_s)
+    return not is_kill_near(state, min(now + latency_s, query.deadline))
 
 
 def refuse_new(
@@ -64,6 +78,8 @@
 def _refuse(state: states.State, query: states.Query, now: float, out: list) -> None:
     if now >= query.deadline:
         reason = Refusal.DEADLINE_EXCEEDED
+    elif is_kill_near(state, now):
+        reason = Refusal.STOPPING
     elif query.route.is_search:
         reason = Refusal.COVERAGE_TOO_LOW
     elif any(part.may_have_arrived for part in query.parts):
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -232,16 +232,21 @@
             self._transport.pause_reading()
 
     def reply(self, response: message.Response, keep_alive: bool = True) -> None:
-        """Send the response to the request in progress."""
+        """Send the response to the request in progress.
+
+        Even without `keep_alive`, the connection is kept while it has more requests to answer.
+        """
         if self._transport is None or self._current is None:
             return
         has_body = self._current.method != b"HEAD"
-        keep_alive = keep_alive and self._keep_alive or bool(self._pending)
+        keep_alive = (
+            bool(self._pending) or self._keep_alive and (keep_alive or self._has_unread_input())
+        )
         self._current = None
         self._last_progress_at = clock.read()
         self._transport.write(message.encode_response(response, keep_alive, has_body))
         self._account.update(self, self._transport.get_write_buffer_size())
-        if not keep_alive and not self._pending and self._error is None:
+        if not keep_alive and self._error is None:
             self._half_close()
             return
         if self._is_paused:
@@ -261,6 +266,11 @@
             or self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether all responses have been sent and only the caller's close is awaited."""
+        return self._abort_at is not None and self._transport.get_write_buffer_size() == 0
+
     def close_if_idle(self, now: float) -> None:
         """Close the connection unless it is busy or its caller may be sending a request."""
         is_new = self._message_no == 0 and now - self._last_progress_at < FIRST_REQUEST_S
@@ -280,14 +290,16 @@
             return
         limits = self._handler.limits
         age = now - self._last_progress_at
-        if self._abort_at is not None:
-            if now > self._abort_at:
-                self._transport.abort()
-        elif self._current is not None:
+        if self._current is not None:
             return
-        elif self._transport.get_write_buffer_size():
+        if self._transport.get_write_buffer_size():
+            if self._abort_at is not None:
+                self._abort_at = now + LINGER_S  # the caller has not read all of the response yet
             if age > limits.idle_timeout_s + IDLE_GRACE_S:
                 self._transport.abort()  # closing would wait for a caller that does not read
+        elif self._abort_at is not None:
+            if now > self._abort_at:
+                self._transport.abort()
         elif self._is_reading or self._head_bytes:
             if age > limits.header_timeout_s:
                 self._reject(408, "request not complete in time")
@@ -347,6 +359,8 @@
         self._timeout_timer = loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
         now = clock.read()
         self._for_each_connection(functools.partial(Connection.check_timeouts, now=now))
+        if self._listener.fileno() < 0:
+            self._for_each_connection(functools.partial(Connection.close_if_idle, now=now))
 
     def _for_each_connection(self, check: typing.Callable[[Connection], None]) -> None:
         """Check all connections; an unexpected error at one does not spare the others."""
@@ -360,6 +374,7 @@
     def stop_accepting(self) -> None:
         """Accept what the kernel has accepted already, then close the listener.
 
+        From then on, idle connections are closed, so that their callers send to another server.
         Closing a listener resets the connections that wait in its backlog.
         """
         if self._server is None or self._listener.fileno() < 0:
@@ -379,13 +394,16 @@
     async def drain(self, timeout_s: float) -> int:
         """Wait until no connection has a request or may be about to send its first one.
 
-        Close idle connections meanwhile. Return the number of connections that are still busy when
-        the time is over.
+        Close idle connections meanwhile. Return the number of connections that are cut, as they
+        have a request or an unsent response when the time is over.
         """
         deadline = clock.read() + timeout_s
         while True:
             now = clock.read()
             self._for_each_connection(functools.partial(Connection.close_if_idle, now=now))
             if now >= deadline or not (self.connections or self._accept_tasks):
-                return sum(connection.is_busy for connection in self.connections)
+                return sum(
+                    connection.is_busy and not connection.is_lingering
+                    for connection in self.connections
+                )
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -276,3 +276,98 @@
 
     monkeypatch.setattr(servers.Connection, "close_if_idle", fail)
     run_with_server(scenario)
+
+
+def test_caller_that_reads_its_last_response_slowly_gets_all_of_it():
+    """A planned stop: the last response of a connection was cut a second after it was begun."""
+
+    async def scenario(handler, server, port):
+        handler.response_bytes = 8 << 20
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        received_bytes = len(await reader.read(1024))
+        await asyncio.sleep(servers.LINGER_S + 2 * servers.TIMEOUT_CHECK_S)
+        while chunk := await reader.read(1 << 20):
+            received_bytes += len(chunk)
+        writer.close()
+        assert received_bytes > handler.response_bytes
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=WAIT_S))
+
+
+def test_caller_that_does_not_read_its_last_response_is_aborted():
+    async def scenario(handler, server, port):
+        handler.response_bytes = 8 << 20
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        while server.connections:
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_idle_connections_are_closed_once_accepting_stops():
+    """A planned stop: idle connections took requests as long as others were busy."""
+
+    async def scenario(handler, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b" 200 " in await reader.readline()
+        server.stop_accepting()
+        assert (await reader.read()).endswith(b"\r\n\r\n")
+        writer.close()
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=100 * WAIT_S))
+
+
+def test_pipelined_requests_that_have_arrived_are_answered_before_the_close():
+    """Requests that were sent far ahead of a response that closes the connection got none."""
+
+    async def scenario(handler, server, port):
+        connections = []
+        handler.handle = lambda request, connection: connections.append(connection)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        sender = writer.get_extra_info("socket").dup()
+        for _ in range(3 * servers.MAX_PIPELINED):
+            sender.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+        answered = 0
+        while connections:
+            while connections:
+                connections.pop().reply(message.Response(503, []), keep_alive=False)
+                answered += 1
+            await asyncio.sleep(0.1)
+        assert answered == 3 * servers.MAX_PIPELINED
+        assert (await reader.read()).count(b"HTTP/1.1 503") == answered
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_drain_does_not_count_callers_that_keep_their_connection_after_the_last_response():
+    async def scenario(handler, server, port):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        assert server.connections
+        assert await server.drain(0.0) == 0
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_drain_counts_callers_that_have_not_read_their_response():
+    async def scenario(handler, server, port):
+        handler.response_bytes = 32 << 20
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        assert await server.drain(0.0) == 1
+        writer.close()
+
+    run_with_server(scenario)
