The lines of the start and the end of a process are written whatever the rate of the log

Cause: `ended` had to share the budget of urgent lines, and each SIGHUP writes an urgent line: the line that tells how the process ended was missing when much had happened before it.

--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -52,7 +52,7 @@
         "machine": os.uname().machine,
         "settings": path,
     }
-    logger.write("starting", fields, clock.read(), is_urgent=True)
+    logger.write_always("starting", fields)
     try:
         status = run(path, logger)
     except BaseException as error:
@@ -64,7 +64,7 @@
 
 def _log_end(logger: journal.Logger, status: int, error: str = "", where: typing.Any = ()) -> None:
     fields = {"status": status, "error": error, "where": where, **attrs.asdict(usage.read())}
-    logger.write("ended", fields, clock.read(), is_urgent=True)
+    logger.write_always("ended", fields)
 
 
 def run(path: str, logger: journal.Logger) -> int:
--- a/hyssopproxy/transport/journal.py
+++ b/hyssopproxy/transport/journal.py
@@ -80,6 +80,10 @@
         if not bucket.try_take(now):
             self.suppressed += 1
             return
+        self.write_always(name, fields)
+
+    def write_always(self, name: str, fields: dict[str, typing.Any]) -> None:
+        """Write one line whatever the rate; for the start and the end of the process."""
         if self.suppressed:
             fields = {**fields, "suppressed_before": self.suppressed}
             self.suppressed = 0
--- a/tests/transport/test_journal.py
+++ b/tests/transport/test_journal.py
@@ -20,6 +20,19 @@
     os.close(writer)
 
 
+def test_line_of_the_end_is_written_whatever_the_rate():
+    reader, writer = os.pipe()
+    logger = journal.Logger("n", writer)
+    for _ in range(200):
+        logger.write("signal", {}, now=5.0, is_urgent=True)
+    suppressed = logger.suppressed
+    logger.write_always("ended", {"status": 0})
+    last = msgspec.json.decode(os.read(reader, 1 << 20).splitlines()[-1])
+    assert last["event"] == "ended" and last["suppressed_before"] == suppressed > 0
+    os.close(reader)
+    os.close(writer)
+
+
 def test_stalled_reader_does_not_block_logging():
     reader, writer = os.pipe()
     logger = journal.Logger("n", writer)
