A daemon out of descriptors retries to accept once a second and stops in time

Cause: without a free descriptor, asyncio (3.11) fails to accept as many times as its `backlog` argument states, 512, writes a log line for each, and schedules a retry for each, and retries that fail apart from each other schedule 512 retries each. asyncio now accepts one connection for each wake-up; the kernel's queue of connections is as long as before.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -320,9 +320,10 @@
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((host, port))
-            self._server = await loop.create_server(
-                self._make_connection, sock=listener, backlog=BACKLOG
-            )
+            # Without a free descriptor asyncio schedules as many retries as its backlog states, and
+            # each of them as many again: the process would do nothing else.
+            self._server = await loop.create_server(self._make_connection, sock=listener, backlog=1)
+            listener.listen(BACKLOG)
         except OSError:
             listener.close()
             raise
