Bodies that are broken off or too large are freed at once, not at the next garbage collection

Cause: a connection and its HTTP parser refer to each other, and the daemon collects such cycles only every 20000 allocations. The account of buffered bytes let go of a body while the closed connection still held it: the limit of 48 MB bounded nothing.

--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -106,6 +106,7 @@
         """Abort the connection without calling the callback."""
         self._callback = None
         self._account.release(self)
+        self._body = bytearray()
         if self._transport is not None:
             self._transport.abort()
 
@@ -239,6 +240,8 @@
 
     def _finish(self, response: message.Response | None, failure: Failure | None) -> None:
         self._account.release(self)
+        # The connection is part of a reference cycle: the buffer would stay until a collection.
+        self._body = bytearray()
         callback, self._callback = self._callback, None
         if callback is not None:
             callback(response, failure)
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -85,6 +85,8 @@
         self._account.release(self)
         self._transport = None
         self._pending.clear()
+        # The connection is part of a reference cycle: the buffer would stay until a collection.
+        self._body_parts = []
         if self._current is not None:
             self._current = None
             self._handler.handle_disconnect(self)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 import asyncio
 import base64
+import gc
 import zlib
 
 import msgspec
@@ -257,6 +258,49 @@
     assert memory.resident_bytes() - before < 40 << 20
 
 
+async def read_too_much(read, limit_bytes=1000):
+    """Return what a read posts whose response exceeds the limit."""
+    size = 2 * limit_bytes
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b" " * size
+
+    async def handle(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response)
+            await writer.drain()
+        except (ConnectionError, EOFError):
+            pass  # the client has closed the connection
+        finally:
+            writer.close()
+
+    posted = []
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    source = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    limits = limit.ResponseLimits(body_bytes=limit_bytes)
+    account = buffer.Account(2 * limit_bytes)
+    client = store.StoreClient(posted.append, store.ItemCache(), limits, account)
+    await read(client, source)
+    server.close()
+    return posted
+
+
+def test_failed_reads_leave_memory_bounded_without_garbage_collection():
+    async def read(client, source):
+        for number in range(12):
+            change = effect.ReadChanges(number, source, True, 7, 1.0, sites.WAIT_S)
+            await client.read_changes(change)
+
+    gc.collect()
+    gc.disable()  # a daemon that is not busy collects rarely
+    try:
+        before = memory.resident_bytes()
+        posted = asyncio.run(read_too_much(read, 8 << 20))
+        assert memory.resident_bytes() - before < 60 << 20
+    finally:
+        gc.enable()
+    assert len(posted) == 12
+
+
 def test_compressed_response_that_expands_beyond_the_limit_is_refused():
     body = zlib.compress(b"x" * (1 << 20))
     response = message.Response(200, [(b"Content-Encoding", b"deflate")], body)
