A daemon that missed more changes than a response may hold lists them anew

Cause: a watch returns each version of a configuration that was missed. Once they exceed the 16 MB that a response may have, every further watch does too, from the store as from its history, and the daemon kept its old configuration. A listing that is too large remains a failed read.

--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -185,6 +185,10 @@
                 connection.close()
             self._fail(read, "timed out")
             return None
+        except _TooLargeError as error:
+            # The missed changes only become more; a listing holds the newest of each key.
+            self._fail(read, str(error), is_compacted=isinstance(read, effect.ReadChanges))
+            return None
         except OSError as error:
             self._fail(read, f"{type(error).__name__}: {error}")
             return None
@@ -220,6 +224,10 @@
         self._post(event.ReadFailed(read.read_no, reason, is_compacted, is_refused))
 
 
+class _TooLargeError(ConnectionError):
+    """The response exceeds a limit."""
+
+
 async def _exchange(connection: client.Connection, source: str, path: str) -> message.Response:
     """Send a GET request and return the response; raise ConnectionError if there is none."""
     future = asyncio.get_running_loop().create_future()
@@ -231,6 +239,8 @@
     head = f"GET {path} HTTP/1.1\r\nHost: {source}\r\n\r\n"
     connection.send(head.encode(), finish)
     result = await future
+    if result is client.Failure.TOO_LARGE:
+        raise _TooLargeError(f"no response: {result.value}")
     if isinstance(result, client.Failure):
         raise ConnectionError(f"no response: {result.value}")
     return result
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -284,6 +284,22 @@
     return posted
 
 
+def test_changes_that_exceed_the_limit_lead_to_a_new_listing():
+    async def read(client, source):
+        await client.read_changes(effect.ReadChanges(1, source, True, 7, 1.0, sites.WAIT_S))
+
+    (failed,) = asyncio.run(read_too_much(read))
+    assert isinstance(failed, event.ReadFailed) and failed.is_compacted
+
+
+def test_page_that_exceeds_the_limit_is_a_failed_read():
+    async def read(client, source):
+        await client.read_page(effect.ReadPage(1, source, True, None, sites.WAIT_S))
+
+    (failed,) = asyncio.run(read_too_much(read))
+    assert isinstance(failed, event.ReadFailed) and not failed.is_compacted
+
+
 def test_failed_reads_leave_memory_bounded_without_garbage_collection():
     async def read(client, source):
         for number in range(12):
