--- a/soak/life.py
+++ b/soak/life.py
@@ -35,15 +35,19 @@
         """Take a handle on the process, which must run: its id may be used again after its end."""
         self.pidfd = os.pidfd_open(self.pid)
 
-    def send(self, number: signal.Signals, now: float) -> None:
-        """Send a signal, whatever the process does; a process that has ended gets none.
+    def send(self, number: signal.Signals, now: float) -> bool:
+        """Send a signal, whatever the process does; return False if it has ended.
 
         `Process.send_signal` of asyncio would take the exit status from the one who waits for it.
         """
-        if self.pidfd is not None:
-            with contextlib.suppress(ProcessLookupError):
-                signal.pidfd_send_signal(self.pidfd, number)
-                self.signals.append((now - self.started_at, number))
+        if self.pidfd is None:
+            return False
+        try:
+            signal.pidfd_send_signal(self.pidfd, number)
+        except ProcessLookupError:
+            return False
+        self.signals.append((now - self.started_at, number))
+        return True
 
     async def read_log(self, stream: asyncio.StreamReader) -> None:
         """Keep the end of the log."""
@@ -89,13 +93,12 @@
         numbers = {number for _, number in self.signals}
         if self.status is None:
             return "has not ended"
-        if self.overran and signal.SIGSTOP not in numbers:  # a frozen process cannot stop
+        is_killed = self.status == -signal.SIGKILL and signal.SIGKILL in numbers
+        if is_killed and self.overran and signal.SIGSTOP not in numbers:  # it was not frozen
             return "did not stop within its grace"
         if self.status == 0:
             return "" if signal.SIGTERM in numbers else "ended by itself"
-        if self.status == -signal.SIGKILL and signal.SIGKILL in numbers:
-            return ""
-        return f"ended with status {self.status}"
+        return "" if is_killed else f"ended with status {self.status}"
 
     def describe(self) -> str:
         """Return the fault with its circumstances, as indented lines."""
--- a/soak/supervisor.py
+++ b/soak/supervisor.py
@@ -119,9 +119,9 @@
         if not self.is_closing:
             await self.start_daemon(daemon)
 
-    def order(self, daemon: sites.Daemon, number: signal.Signals) -> None:
-        """Send a signal, whatever the state of the process."""
-        self.find_life(daemon).send(number, time.monotonic())
+    def order(self, daemon: sites.Daemon, number: signal.Signals) -> bool:
+        """Send a signal, whatever the state of the process; return False if it has ended."""
+        return self.find_life(daemon).send(number, time.monotonic())
 
     async def reload(self, daemon: sites.Daemon, delay_s: float = 0.0) -> None:
         """Change the settings file and send SIGHUP."""
@@ -138,8 +138,7 @@
         self.order(daemon, signal.SIGTERM)
         await asyncio.sleep(GRACE_S)
         if life.status is None:
-            life.overran = True
-            self.order(daemon, signal.SIGKILL)
+            life.overran = life.send(signal.SIGKILL, time.monotonic())
 
     def kill(self, daemon: sites.Daemon, down_s: float) -> None:
         """Kill a process; its successor starts no sooner than after `down_s`."""
