A request that offers an upgrade is an ordinary request with its body

Cause: the parser ends a message at the head of a request with such an offer, or with CONNECT, and the connection took the message for complete and fed what came later to the parser again. Class: bytes of a body read as a request where the parser and the connection disagree on the end of a request.

Change: the head is parsed once more without the offer, which a server may ignore (RFC 9110, 7.8), and the bytes after it follow as usual. CONNECT is refused with 501 and the connection closed; nothing behind it is read.

Why it works: every byte after the head goes through the library's framing, whatever the offer says; there is no second place that decides where a request ends.

--- a/hyssopproxy/transport/message.py
+++ b/hyssopproxy/transport/message.py
@@ -32,6 +32,7 @@
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
+    501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -63,6 +63,7 @@
         self._body_bytes = 0
         self._head_bytes = 0
         self._message_no = 0  # of the request that is being received
+        self._offers_upgrade = False  # the request that is being received
         self._overhead_bytes = 0  # framing and trailers of the body
         self._is_reading = False  # a request is partly received
         self._has_headers = False
@@ -105,12 +106,7 @@
             self._head_bytes += len(data)
         else:
             self._last_progress_at = clock.read()
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._keep_alive = False  # the bytes that follow belong to another protocol
-        except httptools.HttpParserError as error:
-            self._reject(400, str(error)[:80])
+        self._parse(data)
         if not self._has_headers and self._head_bytes > self._handler.limits.header_bytes:
             self._reject(431, "header fields too large")
         if message_no == self._message_no:
@@ -120,6 +116,39 @@
         self._handle_next()
         self._pause_if_ahead()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; a request that offers an upgrade is parsed again as an ordinary one.
+
+        The parser stops at the end of a head with such an offer. A server may ignore the offer
+        (RFC 9110, 7.8); the request then has its body as usual.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                if self._parser.get_method() == b"CONNECT":
+                    self._reject(501, "tunnels are not supported")
+                    return
+                head = self._encode_head_without_offer()
+                data = head + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError as error:
+                self._reject(400, str(error)[:80])
+                return
+
+    def _encode_head_without_offer(self) -> bytes:
+        headers = []
+        for name, value in self._headers:
+            if name.lower() == b"connection":
+                options = [option.strip() for option in value.split(b",")]
+                value = b", ".join(option for option in options if option.lower() != b"upgrade")
+            if name.lower() != b"upgrade":
+                headers.append((name, value))
+        version = self._parser.get_http_version().encode()
+        line = b"%s %s HTTP/%s\r\n" % (self._parser.get_method(), self._target, version)
+        return line + message.encode_headers(headers) + b"\r\n"
+
     def _check_growth(self) -> None:
         """Reject the incomplete request if its framing or trailers grow without end."""
         max_overhead = self._handler.limits.header_bytes + MAX_OVERHEAD_FRACTION * self._body_bytes
@@ -162,6 +191,9 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
+            return
         self._has_headers = True
         self._last_progress_at = clock.read()
         size = len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
@@ -182,6 +214,8 @@
             self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
+        if self._offers_upgrade:
+            return
         self._is_reading = False
         self._has_headers = False
         self._head_bytes = 0
