White space after a header's value does not belong to the value

Cause: the parser strips white space before a value only. Change: server and client strip it behind as well (RFC 9110, 5.5). The test in tests/transport/test_server_framing.py failed before.

--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -184,7 +184,7 @@
         ):
             self._reject_size()
         if not self._has_headers:  # otherwise it is a trailer
-            self._headers.append((name, value))
+            self._headers.append((name, value.rstrip(b" \t")))  # the parser keeps trailing space
 
     def on_headers_complete(self) -> None:
         self._has_headers = True
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -188,7 +188,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._has_headers:  # otherwise it is a trailer
-            self._headers.append((name, value))
+            self._headers.append((name, value.rstrip(b" \t")))  # the parser keeps trailing space
 
     def on_headers_complete(self) -> None:
         self._offers_upgrade = self._parser.should_upgrade()
--- a/tests/transport/test_server_framing.py
+++ b/tests/transport/test_server_framing.py
@@ -131,3 +131,9 @@
     assert handler.requests == []
     assert transport.written.startswith(b"HTTP/1.1 501 ")
     assert b"Connection: close" in transport.written
+
+
+def test_white_space_after_a_header_value_does_not_belong_to_it():
+    handler, _ = receive([b"GET / HTTP/1.1\r\nHost: h \t\r\nRequest-Id: q2 \r\n\r\n"])
+    (request,) = handler.requests
+    assert request.headers == [(b"Host", b"h"), (b"Request-Id", b"q2")]
