A body of over a mebibyte is read to its end

Cause: reading pauses when a connection is ahead of its responses, and the body in receipt counted although no request was in progress, so that no response came that would have resumed reading. Change: reading pauses only behind a request in progress; maxBodyBytes and the account of all buffers still bound a body. The test in tests/transport/test_server_framing.py failed before.

--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -255,9 +255,11 @@
         """Pause reading from a caller that sends too far ahead of its responses."""
         if self._transport is None:
             return
+        if self._current is None:  # nothing would resume reading
+            return
         pending_bytes = sum(len(request.body) for request in self._pending) + self._body_bytes
-        is_ahead = self._current is not None and len(self._pending) > MAX_PIPELINED
-        if (is_ahead or pending_bytes > MAX_PENDING_BODY_BYTES) and not self._is_paused:
+        is_ahead = len(self._pending) > MAX_PIPELINED or pending_bytes > MAX_PENDING_BODY_BYTES
+        if is_ahead and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
 
--- a/tests/transport/test_server_framing.py
+++ b/tests/transport/test_server_framing.py
@@ -137,3 +137,17 @@
     handler, _ = receive([b"GET / HTTP/1.1\r\nHost: h \t\r\nRequest-Id: q2 \r\n\r\n"])
     (request,) = handler.requests
     assert request.headers == [(b"Host", b"h"), (b"Request-Id", b"q2")]
+
+
+def test_body_of_over_a_mebibyte_is_read_to_its_end():
+    body = b"b" * (2 << 20)
+    pieces = [body[start : start + 65536] for start in range(0, len(body), 65536)]
+    handler = Recorder()
+    connection = servers.Connection(handler, set(), buffer.Account(64 << 20))
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    connection.data_received(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body))
+    for piece in pieces:
+        assert not transport.is_reading_paused
+        connection.data_received(piece)
+    assert handler.requests[0].body == body
