An entry must have every field, and can't move a running target

Cause: missing fields had defaults, two weren't read, and an entry with another service or address made a new target. Class: what another writer leaves under a target's key was believed in part.

An entry with the start of the target that it names and another pool, address or failure domain is refused: a target keeps these for as long as it runs. A refused entry names no target, is logged and counted, and the others hold; the target's own next write brings it back. What can't be told: a complete entry that is false while a daemon starts, or a false start time.

In the tests make_server and SERVER now have the field version, without which an entry is no entry any more.

--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -28,10 +28,11 @@
     if change.revision <= known_revision:
         return
     sync.revision = max(sync.revision, change.revision)
-    if change.error:
+    error = change.error or _find_conflict(state, change)
+    if error:
         state.counters["items_refused"] += 1
-        out.append(effect.Log("item_refused", {"key": change.key, "reason": change.error}))
-    if change.value is None:
+        out.append(effect.Log("item_refused", {"key": change.key, "reason": error}))
+    if change.value is None or error:
         remove(state, change.key, change.revision, now, out)
         return
     sync.revisions[change.key] = change.revision
@@ -46,6 +47,24 @@
         _apply_entry(state, change.key, change.value, now, out)
 
 
+def _find_conflict(state: states.State, change: model.Change) -> str:
+    """Return why an entry cannot come from the target that it names, or "" if it can.
+
+    A target keeps its pool, address and failure domain for as long as it runs; each start has
+    another time.
+    """
+    previous = state.targets.get(change.key)
+    if previous is None or not isinstance(change.value, model.TargetEntry):
+        return ""
+    old, new = previous.entry, change.value
+    if old.started_at_ms != new.started_at_ms:
+        return ""
+    for name in ("pool", "address", "failure_domain"):
+        if getattr(old, name) != getattr(new, name):
+            return f"{name} changes from {getattr(old, name)!r} within one incarnation"
+    return ""
+
+
 def _apply_table(state: states.State, table: model.RoutingTable, now: float, out: list) -> None:
     old_version = state.table.version if state.table else 0
     if table.version <= old_version:
@@ -89,7 +108,7 @@
 
 
 def _is_same_incarnation(old: model.TargetEntry, new: model.TargetEntry) -> bool:
-    return (old.started_at_ms, old.address, old.pool) == (new.started_at_ms, new.address, new.pool)
+    return old.started_at_ms == new.started_at_ms
 
 
 def remove(state: states.State, key: str, revision: int, now: float, out: list) -> None:
--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -20,7 +20,8 @@
 MAX_COLD_LEFT_S = 600.0  # longest cold start that a leaf may state
 _TARGET_ID = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _IDEMPOTENT_TYPE = "idempotent"
-_SERVER_STATES = ("ready", "draining")
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _WeightedBackend(msgspec.Struct, frozen=True):
@@ -65,13 +66,17 @@
 
 
 class _Server(msgspec.Struct, frozen=True, rename="camel"):
-    backend: str
+    """What a leaf writes of itself; all fields are required."""
+
+    backend: _Name
     address: str
-    zone: str
-    max_concurrency: int
-    state: str
-    warmup_left_ms: float = 0.0
-    born: int = 0
+    zone: _Name
+    version: str  # of its software
+    max_concurrency: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: typing.Literal["ready", "draining"]
+    warmup_left_ms: typing.Annotated[float, msgspec.Meta(ge=0.0)]
+    sequence: _Count  # of its writes
+    born: _Count  # Unix milliseconds of its start
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -189,16 +194,12 @@
 
 def _decode_server(key: str, blob: bytes) -> model.TargetEntry:
     server = _SERVER_DECODER.decode(blob)
-    if server.state not in _SERVER_STATES:
-        raise ValueError(f"unknown state {server.state!r}")
     target_id = key[len(SERVER_PREFIX) :]
     if not _TARGET_ID.fullmatch(target_id):
         raise ValueError(f"invalid id {target_id!r}")
     parsed = address.parse(server.address)
     if isinstance(parsed, address.BadAddress):
         raise ValueError(f"address: {parsed.reason}")
-    if not 0 < server.max_concurrency <= MAX_SLOTS:
-        raise ValueError(f"number of slots out of range: {server.max_concurrency}")
     return model.TargetEntry(
         id=target_id,
         pool=server.backend,
@@ -206,7 +207,7 @@
         failure_domain=server.zone,
         slots=server.max_concurrency,
         is_draining=server.state == "draining",
-        cold_left_s=min(MAX_COLD_LEFT_S, max(0.0, server.warmup_left_ms) / 1000),
+        cold_left_s=min(MAX_COLD_LEFT_S, server.warmup_left_ms / 1000),
         started_at_ms=server.born,
     )
 
--- a/tests/engine/test_catalog.py
+++ b/tests/engine/test_catalog.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
@@ -187,3 +188,27 @@
     world.run(60.0)
     world.publish(attrs.evolve(entry, started_at_ms=77))
     assert "p-0" in find_serving_targets(world, 30)
+
+
+@pytest.mark.parametrize(
+    "fields", [{"pool": "q"}, {"address": "10.9.9.9:80"}, {"failure_domain": "b"}]
+)
+def test_entry_that_moves_a_running_target_is_refused(fields):
+    """Guards against parts of a foreign shard, which an entry of another writer caused."""
+    world = worlds.make_plain_world()
+    entry = world.replicas["p-0"].entry
+    world.publish(attrs.evolve(entry, **fields))
+    assert world.state.counters["items_refused"] == 1
+    assert not world.state.pools.get("q")
+    assert "p-0" not in find_serving_targets(world)
+    world.publish(entry)
+    assert "p-0" in find_serving_targets(world)
+
+
+def test_new_incarnation_may_have_another_pool_and_address():
+    world = worlds.make_plain_world()
+    entry = world.replicas["p-0"].entry
+    moved = attrs.evolve(entry, pool="q", address="10.9.9.9:80", started_at_ms=2**40)
+    world.publish(moved)
+    assert world.state.counters["items_refused"] == 0
+    assert [target.entry for target in world.state.pools["q"].values()] == [moved]
--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -34,6 +34,7 @@
         "backend": "p",
         "address": "10.0.0.1:80",
         "zone": "a",
+        "version": "v1",
         "maxConcurrency": 6,
         "state": "ready",
         "warmupLeftMs": 1500,
@@ -83,7 +84,15 @@
         {"zone": None},
         {"born": "1"},
         {"born": 1.5},
+        {"born": -1},
+        {"born": None},
         {"warmupLeftMs": "x"},
+        {"warmupLeftMs": -1},
+        {"sequence": "4"},
+        {"sequence": -1},
+        {"version": 1},
+        {"backend": ""},
+        {"zone": ""},
     ],
 )
 def test_invalid_server_is_rejected_with_reason(fields):
@@ -91,6 +100,15 @@
     assert change.value is None and change.error
 
 
+@pytest.mark.parametrize("name", sorted(make_server()))
+def test_server_that_lacks_a_field_names_no_target(name):
+    """Guards against a target that an entry of another writer puts into a foreign shard."""
+    server = make_server()
+    del server[name]
+    change = decode("servers/i-1", server)
+    assert change.value is None and name in change.error
+
+
 @hypothesis.given(hypothesis.strategies.binary(max_size=60))
 def test_decoding_never_raises_on_arbitrary_bytes(blob):
     for key in ("op/config", "servers/x"):
--- a/tests/platform/test_faulty_leaf.py
+++ b/tests/platform/test_faulty_leaf.py
@@ -83,7 +83,7 @@
     sites.run_scenario(scenario, leaves_per_pool=1, maxAttempts=1)
 
 
-@pytest.mark.parametrize("copy_delay", [0, 1])
+@pytest.mark.parametrize("copy_delay", [0, 1, 5])
 @pytest.mark.parametrize("echoes_id", [True, False])
 def test_second_copy_of_a_response_reaches_no_other_caller(echoes_id, copy_delay):
     """A leaf sends an earlier response again when the next or a later request is in flight."""
@@ -93,7 +93,7 @@
         leaves = [*leaves_of(site, "p"), *leaves_of(site, "s0")]
         for leaf in leaves:
             leaf.fault, leaf.echoes_id, leaf.copy_delay = "copy", echoes_id, copy_delay
-        for number in range(12):
+        for number in range(12 + 6 * copy_delay):
             target = f"/p/{number}"
             reply = await site.get(daemon, target)
             assert reply.status == 200 and reply.body.endswith(f" {target}".encode())
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -57,12 +57,18 @@
     "backend": "p",
     "address": "10.0.0.1:80",
     "zone": "domain-a",
+    "version": "v1",
     "maxConcurrency": 6,
     "state": "ready",
     "warmupLeftMs": 0,
     "sequence": 1,
     "born": 1,
 }
+SERVER_TYPES = {
+    **dict.fromkeys(("backend", "address", "zone", "version", "state"), (str,)),
+    **dict.fromkeys(("maxConcurrency", "sequence", "born"), (int,)),
+    "warmupLeftMs": (int, float),
+}
 CONFIG = {
     "version": 9,
     "routes": [sites.search_route("s0", "s1"), sites.plain_route()],
@@ -160,7 +166,8 @@
         assert (change.value is None) == bool(change.error)
         if change.value is not None:
             assert change.value.id.isascii() and "\n" not in change.value.id
-            assert change.value.cold_left_s <= document.MAX_COLD_LEFT_S
+            assert 0.0 <= change.value.cold_left_s <= document.MAX_COLD_LEFT_S
+            assert type(value) in SERVER_TYPES[key]
 
 
 @hypothesis.given(
