A copy of a response is known however late it comes, and a rejection that names no request is taken

Cause: only the last four stamps of a connection were remembered. Class: a response taken without certainty whose it is.

Change: a response that names its request belongs to that one alone. Of responses that name none, the stamps are remembered for the connection's life, 500 at most, then the connection is used no longer. One with neither ends the use of its connection, as before; so a rejection that names no request can't be a copy, and is taken.

--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -22,10 +22,11 @@
 CONNECT_TIMEOUT_S = 0.35  # TCP retransmits a lost SYN only after 1 s; retrying is faster
 RESPONSE_GRACE_S = 0.3  # network delay after the deadline; a live leaf has answered by the deadline
 MAX_COLD_LEFT_MS = 600_000  # longest cold start that a leaf may state
-RECENT_STAMPS = 4  # responses of a connection whose copies are recognised by their stamps
+MAX_UNNAMED_STAMPS = 500  # remembered of a connection, which is then used no longer
 FRESH_IDLE_S = 0.5  # a connection used within this time is not about to be closed as idle
 _LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 Outcome = model.Outcome
+_REJECTIONS = (Outcome.SHED, Outcome.MISDIRECTED)
 _OUTCOME_BY_FAILURE = {
     client.Failure.RESET: Outcome.RESET,
     client.Failure.GARBLED: Outcome.GARBLED,
@@ -36,30 +37,34 @@
 class _LeafConnection(client.Connection):
     """A connection to a leaf; knows which of its responses may be copies of earlier ones.
 
-    Handles leaves that send a second copy of a response, late, while the connection carries another
-    request. A copy is known by the request that it names or by its stamp. A copy of a response that
-    has neither could not be told from the next response, so its connection is not used again.
+    Handles leaves that send a second copy of a response, however late, while the connection carries
+    another request. A response that names its request belongs to that request alone. Of those that
+    name none, the stamps are remembered for as long as the connection is used, so that each is
+    taken once. A response with neither ends the use of its connection, since its copy could not be
+    told from the next response.
     """
 
     def __init__(self, limits: limit.ResponseLimits, account: buffer.Account) -> None:
         super().__init__(limits, account)
-        self.is_reusable = True  # a copy of its last response would be recognised
-        self._has_echoed_id = False  # earlier responses named their request
-        self._recent_stamps: tuple[bytes, ...] = ()
+        self.is_reusable = True  # a copy of any of its responses would be recognised
+        self._names_requests = False
+        self._unnamed_stamps: set[bytes] = set()  # of the responses that name no request
 
     def is_response_to(self, request_id: bytes, response: message.Response) -> bool:
         """Return whether a response belongs to the request in flight."""
         echoed = response.get_header(header.REQUEST_ID)
-        stamp = response.get_header(header.SERVER_STAMP)
         if echoed is not None:
-            self._has_echoed_id = True
-            is_expected = echoed == request_id
-        else:
-            is_expected = not self._has_echoed_id and stamp not in self._recent_stamps
+            self._names_requests = True
+            return echoed == request_id
+        stamp = response.get_header(header.SERVER_STAMP)
+        if stamp in self._unnamed_stamps:
+            return False
         if stamp is not None:
-            self._recent_stamps = (*self._recent_stamps[1 - RECENT_STAMPS :], stamp)
-        self.is_reusable = echoed is not None or stamp is not None
-        return is_expected
+            self._unnamed_stamps.add(stamp)
+        if stamp is None or len(self._unnamed_stamps) >= MAX_UNNAMED_STAMPS:
+            self.is_reusable = False
+        # A leaf that names requests leaves that out only where it turns one away.
+        return not self._names_requests or classify(response) in _REJECTIONS
 
 
 @attrs.define(eq=False)
