--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -22,7 +22,6 @@
 MAX_COLD_LEFT_S = 600.0  # longest cold start that a leaf may state
 _TARGET_ID = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _IDEMPOTENT_TYPE = "idempotent"
-_SERVER_STATES = ("ready", "draining")
 MAX_TIME_MS = 1e9
 MAX_INT_CHARS = 20  # longer numbers are out of range
 MAX_WEIGHT = 1e15  # sums of weights stay finite
@@ -32,7 +31,7 @@
 Whole = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_TIME_MS)]
 Weight = typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WEIGHT)]
-Name = typing.Annotated[str, msgspec.Meta(max_length=200)]  # no longer than a key
+Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]  # no longer than a key
 
 
 class _WeightedBackend(msgspec.Struct, frozen=True):
@@ -46,9 +45,7 @@
     path_prefix: str
     type: str
     timeout_ms: Milliseconds
-    target_latency_ms: Milliseconds = (
-        0.0  # latency objective of the route's requests, not of targets
-    )
+    target_latency_ms: Milliseconds = 0.0  # objective of the route's requests, not of targets
     max_attempts: Whole = 1
     priority: Whole = 0
     backend: str | None = None
@@ -79,13 +76,17 @@
 
 
 class _Server(msgspec.Struct, frozen=True, rename="camel"):
+    """What a leaf writes of itself; all fields are required."""
+
     backend: Name
     address: str
     zone: Name
-    max_concurrency: Whole
-    state: str
-    warmup_left_ms: float = 0.0
-    born: Whole = 0
+    version: Name  # of its software
+    max_concurrency: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: typing.Literal["ready", "draining"]
+    warmup_left_ms: typing.Annotated[float, msgspec.Meta(ge=0.0)]
+    sequence: Count  # of its writes
+    born: Count  # Unix milliseconds of its start
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -245,16 +246,12 @@
 
 def _decode_server(key: str, blob: bytes) -> model.TargetEntry:
     server = _SERVER_DECODER.decode(blob)
-    if server.state not in _SERVER_STATES:
-        raise ValueError(f"unknown state {server.state!r}")
     target_id = key[len(SERVER_PREFIX) :]
     if not _TARGET_ID.fullmatch(target_id):
         raise ValueError(f"invalid id {target_id!r}")
     parsed = address.parse(server.address)
     if isinstance(parsed, address.BadAddress):
         raise ValueError(f"address: {parsed.reason}")
-    if not 0 < server.max_concurrency <= MAX_SLOTS:
-        raise ValueError(f"number of slots out of range: {server.max_concurrency}")
     return model.TargetEntry(
         id=target_id,
         pool=server.backend,
@@ -262,7 +259,7 @@
         failure_domain=server.zone,
         slots=server.max_concurrency,
         is_draining=server.state == "draining",
-        cold_left_s=min(MAX_COLD_LEFT_S, max(0.0, server.warmup_left_ms) / 1000),
+        cold_left_s=min(MAX_COLD_LEFT_S, server.warmup_left_ms / 1000),
         started_at_ms=server.born,
     )
 
