A daemon that an entry names as a leaf does not call itself

Cause: the daemon took its own request for a caller's. Change: a request with Expected-Instance is meant for a leaf; a daemon answers it 421, which says that it has not run, and the target counts as misdirected.

--- a/hyssopproxy/platform/ingress.py
+++ b/hyssopproxy/platform/ingress.py
@@ -12,7 +12,7 @@
 from hyssopproxy.transport import message
 from hyssopproxy.transport import server
 
-# Headers of the caller that the daemon replaces with its own values for each leaf.
+# Headers that the daemon sets for each leaf.
 _REPLACED_HEADERS = frozenset((header.DEADLINE, header.EXPECTED_INSTANCE))
 MAX_MS_DIGITS = 12  # longer times are not plausible
 _STATUS_BY_REFUSAL = {model.Refusal.DEADLINE_EXCEEDED: 504}
@@ -43,7 +43,10 @@
         self.counters: dict[str, int] = {}
 
     def handle(self, request: message.Request, connection: server.Connection) -> None:
-        """Post a caller's request, or reject it if a required header is missing."""
+        """Post a caller's request, or reject one that lacks a header or is meant for a leaf.
+
+        An entry of another writer may name a daemon's address, and daemons would call themselves.
+        """
         request_id = request.get_header(header.REQUEST_ID)
         host = request.get_header(b"host")
         if request_id is None or host is None:
@@ -51,6 +54,10 @@
             response = message.Response(400, [], b"Request-Id and Host are needed")
             connection.reply(response)
             return
+        if request.get_header(header.EXPECTED_INSTANCE) is not None:
+            self.record_rejection(421, "meant for a leaf")
+            connection.reply(message.Response(421, [], b"this is no leaf"))
+            return
         query_no = self._next_number()
         self._query_nos[connection] = query_no
         self.requests[query_no] = _make_forwarded_request(request, request_id, connection)
--- a/hyssopproxy/transport/message.py
+++ b/hyssopproxy/transport/message.py
@@ -29,6 +29,7 @@
     408: b"Request Timeout",
     410: b"Gone",
     413: b"Content Too Large",
+    421: b"Misdirected Request",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
--- a/tests/platform/test_odd_entry.py
+++ b/tests/platform/test_odd_entry.py
@@ -339,3 +339,27 @@
             assert await daemon.wait() == 0
 
     sites.run_scenario(scenario, daemons=2)
+
+
+def test_daemon_named_as_a_leaf_does_not_call_itself():
+    """One request became 84 nested ones within a second."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        address = f"{daemon.host}:{site.ports['front']}"
+        site.store.put("servers/i-own", {**FIELDS, "backend": "own", "address": address})
+        site.publish(
+            sites.plain_route(), sites.plain_route("own", name="r-own", pathPrefix="/own/")
+        )
+
+        async def is_applied():
+            return (await site.get(daemon, "/own/x")).status != 404
+
+        await sites.wait_for(is_applied, "the route")
+        before = (await site.metrics(daemon))["hyssopproxy_attempts_total"]
+        assert (await site.get(daemon, "/own/x")).status == 503
+        after = (await site.metrics(daemon))["hyssopproxy_attempts_total"]
+        assert after - before <= 1
+        assert (await site.get(daemon, "/p/x")).status == 200
+
+    sites.run_scenario(scenario)
