A settings file that changes before it is watched is loaded

Change: the first poll, at the end of the start, always loads the file. test_settings_that_change_before_they_are_watched_are_loaded failed before.

--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -257,7 +257,8 @@
     def __init__(self, runtime: runtimes.Runtime, path: str) -> None:
         self._runtime = runtime
         self._path = path
-        self._loaded_stat = self._stat()
+        # Unknown, as the file may have changed since it was loaded; the first poll loads it again.
+        self._loaded_stat: tuple[int, int, int] | None = None
         self._refusal = ""  # why the file was refused, until it is valid again
 
     def poll(self) -> None:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -145,3 +145,26 @@
         await site.wait_ready(daemon)
 
     sites.run_scenario(scenario)
+
+
+def test_settings_that_change_before_they_are_watched_are_loaded(tmp_path):
+    """Guards against a change between the first read of the file and the first look at it."""
+
+    class Runtime:
+        posted = []
+
+        def post(self, posted_event):
+            self.posted.append(posted_event)
+
+    async def run():
+        path = tmp_path / "node.toml"
+        path.write_text(
+            'node = "n"\nip = "127.0.0.1"\nzone = "a"\ninternalPorts = [7]\nseeds = ["127.0.0.2:9"]\n'
+            '[listen]\nfront = "127.0.0.1:1"\nreadinessAddr = "127.0.0.1:2"\n'
+            '[platform]\naddress = "127.0.0.1:3"\n'
+        )
+        service.SettingsWatcher(Runtime(), str(path)).poll()
+        (changed,) = Runtime.posted
+        assert changed.settings.seeds == ("127.0.0.2:9",)
+
+    asyncio.run(run())
