--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -159,7 +159,8 @@
     async def run():
         path = tmp_path / "node.toml"
         path.write_text(
-            'node = "n"\nip = "127.0.0.1"\nzone = "a"\ninternalPorts = [7]\nseeds = ["127.0.0.2:9"]\n'
+            'node = "n"\nip = "127.0.0.1"\nzone = "a"\ninternalPorts = [7]\n'
+            'seeds = ["127.0.0.2:9"]\n'
             '[listen]\nfront = "127.0.0.1:1"\nreadinessAddr = "127.0.0.1:2"\n'
             '[platform]\naddress = "127.0.0.1:3"\n'
         )
