--- a/tests/platform/test_signal.py
+++ b/tests/platform/test_signal.py
@@ -9,32 +9,9 @@
 import pytest
 
 from bench import site as sites
+from tests import signalled
 
-# Runs the daemon and sends it a signal right before it first imports a module.
-SIGNAL_AT_IMPORT = """
-import os, runpy, sys
-
-class Finder:
-    def find_spec(name, path=None, target=None):
-        if name == {module!r}:
-            sys.meta_path.remove(Finder)
-            os.kill(os.getpid(), {number})
-
-sys.meta_path.insert(0, Finder)
-runpy.run_module("hyssopproxy.platform", run_name="__main__", alter_sys=True)
-"""
-# The same for the script that the deploy file names.
-SIGNAL_IN_SCRIPT = SIGNAL_AT_IMPORT.replace(
-    'run_module("hyssopproxy.platform", run_name="__main__", alter_sys=True)',
-    'run_path({path!r}, run_name="__main__")',
-)
-# Runs the daemon and sends it a signal when the interpreter ends.
-SIGNAL_AT_EXIT = """
-import atexit, os, runpy
-
-atexit.register(os.kill, os.getpid(), {number})
-runpy.run_module("hyssopproxy.platform", run_name="__main__", alter_sys=True)
-"""
+RUN = signalled.run_module("hyssopproxy.platform")
 MODULES = ("asyncio", "hyssopproxy.platform.service", "hyssopproxy.platform.leaf", "httptools")
 
 
@@ -53,7 +30,7 @@
 def test_sighup_during_imports_reloads_the_settings(module):
     async def scenario(site):
         daemon = site.daemons[0]
-        code = SIGNAL_AT_IMPORT.format(module=module, number=int(signal.SIGHUP))
+        code = signalled.make_import_code(RUN, module, signal.SIGHUP)
         await restart(site, daemon, "-c", code)
         await site.wait_ready(daemon)
         assert (await site.get(daemon)).status == 200
@@ -66,7 +43,7 @@
 def test_script_defers_signals_before_its_imports(number):
     async def scenario(site):
         daemon = site.daemons[0]
-        code = SIGNAL_IN_SCRIPT.format(module="site", number=int(number), path=sites.START_PATH)
+        code = signalled.make_import_code(signalled.run_script(sites.START_PATH), "site", number)
         await restart(site, daemon, "-S", "-c", code)  # without -S, site is imported already
         if number == signal.SIGTERM:
             assert await daemon.wait() == 0
@@ -96,7 +73,7 @@
 def test_sigterm_during_imports_is_a_clean_stop(module):
     async def scenario(site):
         daemon = site.daemons[0]
-        code = SIGNAL_AT_IMPORT.format(module=module, number=int(signal.SIGTERM))
+        code = signalled.make_import_code(RUN, module, signal.SIGTERM)
         await restart(site, daemon, "-c", code)
         assert await daemon.wait() == 0
         assert events_of(daemon)[0] == "starting" and events_of(daemon)[-1] == "ended"
@@ -108,7 +85,7 @@
 def test_signal_after_the_stop_does_not_change_the_exit_status(number):
     async def scenario(site):
         daemon = site.daemons[0]
-        await restart(site, daemon, "-c", SIGNAL_AT_EXIT.format(number=int(number)))
+        await restart(site, daemon, "-c", signalled.make_exit_code(RUN, number))
         await site.wait_ready(daemon)
         daemon.signal(signal.SIGTERM)
         assert await daemon.wait() == 0
