Soak and tests signal daemons by a handle, which leaves their exit status to the one who waits

Cause: Popen.send_signal polls the process, and in the moment of its end takes the status from asyncio's watcher, which then reports 255. No daemon ended with 255. The check of the status stays.

--- a/bench/site.py
+++ b/bench/site.py
@@ -57,16 +57,36 @@
     zone: str
     settings_path: str
     process: asyncio.subprocess.Process | None = None
+    pidfd: int | None = None
     log: list[dict] = attrs.field(factory=list)
     environ: dict[str, str] = attrs.field(factory=dict)  # variables of this daemon alone
 
+    def attach(self, process: asyncio.subprocess.Process) -> None:
+        """Take a process, with a handle on it: its id may be used again once it has ended."""
+        self.close()
+        self.process = process
+        with contextlib.suppress(ProcessLookupError):
+            self.pidfd = os.pidfd_open(process.pid)
+
+    def close(self) -> None:
+        """Give up the handle on the process."""
+        if self.pidfd is not None:
+            os.close(self.pidfd)
+        self.pidfd = None
+
     def signal(self, number: int) -> None:
-        self.process.send_signal(number)
+        """Send a signal; raise ProcessLookupError if the process has ended.
+
+        `Process.send_signal` may take the exit status from the task that waits for it.
+        """
+        if self.pidfd is None:
+            raise ProcessLookupError(self.host)
+        signal.pidfd_send_signal(self.pidfd, number)
 
     def send_if_running(self, number: int) -> None:
         """Send a signal unless the process has ended."""
         with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(number)
+            self.signal(number)
 
     def takes_signals(self) -> bool:
         """Return whether SIGHUP and SIGTERM are handled or deferred by now.
@@ -203,13 +223,14 @@
             "HYSSOPPROXY_METRICS_PORT": str(self.ports["metrics"]),
             **daemon.environ,
         }
-        daemon.process = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             sys.executable,
             *(arguments or (START_PATH,)),
             env=environ,
             stdout=asyncio.subprocess.PIPE,
             stderr=None,
         )
+        daemon.attach(process)
         self._log_readers.append(asyncio.create_task(self._read_log(daemon, daemon.process.stdout)))
 
     async def _read_log(self, daemon: Daemon, stream: asyncio.StreamReader) -> None:
@@ -275,9 +296,10 @@
         for daemon in self.daemons:
             if daemon.process is not None and daemon.process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
-                    daemon.process.send_signal(signal.SIGCONT)
-                    daemon.process.kill()
+                    daemon.signal(signal.SIGCONT)
+                    daemon.signal(signal.SIGKILL)
                 await daemon.process.wait()
+            daemon.close()
         for task in self._log_readers:
             task.cancel()
         self.store.stop()
--- a/soak/supervisor.py
+++ b/soak/supervisor.py
@@ -77,7 +77,7 @@
             "HYSSOPPROXY_METRICS_PORT": str(self.ports["metrics"]),
         }
         started_at = time.monotonic()
-        daemon.process = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             *self._role["run"].split(),
             env=environ,
             cwd=clone,
@@ -85,11 +85,12 @@
             stderr=asyncio.subprocess.STDOUT,
             preexec_fn=self._limit_process,
         )
-        life = lives.Life(daemon.host, daemon.process.pid, started_at)
+        daemon.attach(process)
+        life = lives.Life(daemon.host, process.pid, started_at)
         life.open()
         self.lives.append(life)
-        reader = self.spawn(life.read_log(daemon.process.stdout))
-        self.spawn(self._supervise(daemon, daemon.process, life, reader))
+        reader = self.spawn(life.read_log(process.stdout))
+        self.spawn(self._supervise(daemon, process, life, reader))
         if self._options.hup_after_start:
             self.spawn(self.reload(daemon, self._rng.uniform(0.0, 0.1)))
 
--- a/tests/platform/test_odd_entry.py
+++ b/tests/platform/test_odd_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import signal
 
 import msgspec
 import pytest
@@ -320,7 +321,7 @@
         put_odd_items(site.store, 1)
         await check_all()
         for daemon in site.daemons[:2]:
-            daemon.process.kill()
+            daemon.signal(signal.SIGKILL)
             await daemon.wait()
             await site.start_daemon(daemon)
         for daemon in site.daemons:
--- a/tests/platform/test_output.py
+++ b/tests/platform/test_output.py
@@ -99,9 +99,10 @@
         "HYSSOPPROXY_NODE_FILE": daemon.settings_path,
         "HYSSOPPROXY_METRICS_PORT": str(site.ports["metrics"]),
     }
-    daemon.process = await asyncio.create_subprocess_exec(
+    process = await asyncio.create_subprocess_exec(
         sys.executable, *(arguments or ("-m", "hyssopproxy.platform")), env=environ, **options
     )
+    daemon.attach(process)
 
 
 async def check_serves_and_stops(site, daemon):
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -39,7 +39,7 @@
         await sites.wait_for(lambda: "waiting" in events_of(daemon), "the wait for an address")
         daemon.signal(signal.SIGTERM)
         assert await daemon.wait() == 0
-        daemon.process = predecessor
+        daemon.attach(predecessor)
 
     sites.run_scenario(scenario)
 
@@ -51,7 +51,7 @@
         await site.start_daemon(daemon)
         assert await daemon.wait() == 2
         assert events_of(daemon)[-1] == "ended"
-        daemon.process = predecessor
+        daemon.attach(predecessor)
         assert (await site.get(daemon)).status == 200
 
     sites.run_scenario(scenario)
