--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -153,7 +153,7 @@
     signals.deliver()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
-    watcher.poll()
+    loop.call_soon(watcher.poll)  # its errors are logged like those of later polls
     try:
         await runtime.ended.wait()
         metrics_task.cancel()
