Keys identify organisations: unknown ones are refused, targets get the organisation's name

The configuration's decoder takes organisations with their keys, kept as digests only. The engine looks a digest up at constant cost, on arrival and again before anything is sent for a request that waited, so that a key that a version removes is refused from then on, also on kept connections. A request without a known key is refused with 401 on routes that are not public. The header with the key is not forwarded, and the name of the organisation replaces whatever the caller sent under that header. A configuration without organisations changes nothing: the headers are forwarded as before.

The admission of a request is split in two, as a quota may have to wait for another daemon's answer.

--- a/bench/site.py
+++ b/bench/site.py
@@ -126,6 +126,7 @@
         self.published_addresses: dict[str, str] = {}  # by leaf name
         self._listeners: list[asyncio.Server] = []
         self.routes: dict[int, dict[str, dict]] = {}  # by version and name
+        self.tenants: list[dict] | None = None  # of configurations published from now on
 
     async def add_leaf(self, pool: str, zone: str = "a", **fields: typing.Any):
         name = f"i-{pool}-{len(self.leaves)}"
@@ -169,6 +170,8 @@
                 **limits,
             },
         }
+        if self.tenants is not None:
+            value["tenants"] = self.tenants
         self.routes[self.version] = {route["name"]: route for route in routes}
         self.store.put("op/config", value)
 
@@ -207,7 +210,7 @@
             f'control = "{daemon.host}:{ports["control"]}"\n'
             f'[platform]\naddress = "{self.store_address}"\n'
             "[bounds]\nretryRatio = 0.2\nretrySlack = 56\nretryWindowS = 10\n"
-            f"graceS = {self.grace_s}\n"
+            f"graceS = {self.grace_s}\nquotaWindowS = 5\nquotaOverrun = 0.25\nquotaSlack = 20\n"
         )
         # Replaced as a whole, since a daemon that is starting may read the file at any moment.
         new_path = f"{daemon.settings_path}.new"
--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -7,6 +7,7 @@
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
+from hyssopproxy.engine import organisation
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import state as states
 
@@ -80,6 +81,8 @@
         reason = Refusal.DEADLINE_EXCEEDED
     elif is_kill_near(state, now):
         reason = Refusal.STOPPING
+    elif not organisation.is_still_allowed(state, query):
+        reason = Refusal.UNKNOWN_KEY
     elif query.route.is_search:
         reason = Refusal.COVERAGE_TOO_LOW
     elif any(part.may_have_arrived for part in query.parts):
@@ -135,6 +138,8 @@
         "answered": query.answered_parts,
         "extras": query.extra_attempts,
     }
+    if query.organisation is not None:
+        fields["organisation"] = query.organisation.name
     if is_fault:
         fields["objective_ms"] = round(query.route.objective_s * 1000)
         fields["left_ms"] = round((query.caller_deadline - now) * 1000)
--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -23,6 +23,7 @@
     needs_fresh_connection: bool
     max_connections: int  # this daemon's share of the target's connection limit
     top_k: int | None = None  # records needed of a shard's answer; None for a plain request
+    organisation: str = ""  # name of the organisation of the caller, told to the target
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -17,6 +17,7 @@
     host: str
     path: str
     time_left_s: float | None  # timeout stated by the caller
+    key_digest: bytes | None = attrs.field(default=None, repr=False)  # None if it has no key
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/model.py
+++ b/hyssopproxy/engine/model.py
@@ -31,6 +31,7 @@
     shards: tuple[str, ...] = ()  # pools that each search is sent to; empty for plain requests
     least_coverage: float = 0.0  # least share of the shards that an answer must cover
     top_k: int = 0  # records in the answer to a search
+    is_public: bool = False  # callers need no key
 
     @property
     def is_search(self) -> bool:
@@ -52,6 +53,21 @@
     cold_per_s: float = 0.0  # requests per second to a cold target, from all daemons; 0: no limit
 
 
+@attrs.frozen
+class Organisation:
+    """A customer, whose callers present one of its keys."""
+
+    name: str
+    priority: int | None = None  # goes before the priority of the route
+    rate_per_s: float = 0.0  # requests per second, over all daemons; 0: no limit
+    burst: float = 0.0  # requests beyond the rate that may come at once
+
+    @property
+    def has_quota(self) -> bool:
+        """Whether the number of requests is limited."""
+        return self.rate_per_s > 0.0
+
+
 @attrs.frozen
 class RoutingTable:
     """One published version of the configuration."""
@@ -60,6 +76,9 @@
     routes: tuple[Route, ...]
     pools: dict[str, Pool]
     limits: limit.Limits = limit.Limits()
+    # By digest of the key; empty if callers need no keys.
+    key_owners: dict[bytes, Organisation] = attrs.field(factory=dict, repr=False)
+    requires_keys: bool = False  # on all routes that are not public
     by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
@@ -158,6 +177,8 @@
 
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    OVER_QUOTA = "over_quota"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -12,7 +12,9 @@
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
+from hyssopproxy.engine import organisation
 from hyssopproxy.engine import placement
+from hyssopproxy.engine import quota
 from hyssopproxy.engine import routing
 from hyssopproxy.engine import state as states
 
@@ -31,7 +33,7 @@
 def handle_arrived(
     state: states.State, arrived: event.RequestArrived, now: float, out: list
 ) -> None:
-    """Send a request to its shards, or refuse it immediately."""
+    """Admit a request, or refuse it immediately."""
     state.counters["requests"] += 1
     if answer.is_kill_near(state, now):
         answer.refuse_new(state, arrived, Refusal.STOPPING, now, out)
@@ -43,16 +45,28 @@
     if route is None:
         answer.refuse_new(state, arrived, Refusal.NO_ROUTE, now, out)
         return
-    if len(state.queries) >= MAX_QUERIES:
-        answer.refuse_new(state, arrived, Refusal.OVERLOADED, now, out)
-        return
     query = _create_query(state, route, arrived, now)
-    if not _can_reach_least_coverage(state, query, now):
-        answer.refuse_new(state, arrived, Refusal.COVERAGE_TOO_LOW, now, out)
+    refusal = _find_refusal(state, query, now)
+    if refusal is not None:
+        answer.refuse_new(state, arrived, refusal, now, out)
         return
-    if not answer.can_finish(state, query, now):
-        answer.refuse_new(state, arrived, Refusal.STOPPING, now, out)
+    admission = states.Admission(arrived, query)
+    decision = quota.decide(state, admission, now, out)
+    if decision is quota.Decision.ADMITTED:
+        _start(state, query, now, out)
+
+
+def admit(state: states.State, admission: states.Admission, now: float, out: list) -> None:
+    """Send a request whose admission was pending, unless it has to be refused meanwhile."""
+    refusal = _find_refusal(state, admission.query, now)
+    if refusal is not None:
+        answer.refuse_new(state, admission.arrived, refusal, now, out)
         return
+    _start(state, admission.query, now, out)
+
+
+def _start(state: states.State, query: states.Query, now: float, out: list) -> None:
+    """Send a request to its shards."""
     state.queries[query.number] = query
     for part in query.parts:
         _record_first_attempt(state, part.pool, now)
@@ -60,6 +74,21 @@
     _finish_or_schedule(state, query, now, out)
 
 
+def _find_refusal(state: states.State, query: states.Query, now: float) -> Refusal | None:
+    """Return why a request has to be refused before anything is sent for it, or None."""
+    if not organisation.is_allowed(state.table, query.route, query.organisation):
+        return Refusal.UNKNOWN_KEY
+    if not organisation.is_still_allowed(state, query):
+        return Refusal.UNKNOWN_KEY
+    if len(state.queries) >= MAX_QUERIES:
+        return Refusal.OVERLOADED
+    if not _can_reach_least_coverage(state, query, now):
+        return Refusal.COVERAGE_TOO_LOW
+    if not answer.can_finish(state, query, now):
+        return Refusal.STOPPING
+    return None
+
+
 def _can_reach_least_coverage(state: states.State, query: states.Query, now: float) -> bool:
     """Return whether enough shards of a search have a reachable target.
 
@@ -89,6 +118,8 @@
         deadline=min(caller_deadline - DEADLINE_MARGIN_S, now + route.timeout_s),
         caller_deadline=caller_deadline,
         objective_at=now + _objective_left_s(route.objective_s, spent_s),
+        key_digest=arrived.key_digest,
+        organisation=organisation.identify(state.table, arrived.key_digest),
     )
     query.parts = [states.Part(query, pool) for pool in routing.choose_pools(state, route)]
     query.open_parts = len(query.parts)
@@ -134,6 +165,9 @@
     if part.runs >= route.max_attempts or (not route.is_idempotent and part.runs):
         _give_up(part, "attempts_used")
         return
+    if not organisation.is_still_allowed(state, query):
+        _give_up(part, Refusal.UNKNOWN_KEY.value)
+        return
     if not answer.can_finish(state, query, now):
         part.reason = f"{part.reason} stopping".strip()
         _give_up(part, "stopping")
@@ -221,6 +255,7 @@
             needs_fresh_connection=not route.is_idempotent,
             max_connections=placement.connection_share(state, target, now),
             top_k=route.top_k if route.is_search else None,
+            organisation=query.organisation.name if query.organisation is not None else "",
         )
     )
 
@@ -419,6 +454,7 @@
     Its attempts are cancelled only after a grace period, since cancelling one closes its
     connection to the target.
     """
+    quota.forget(state, disconnected.query_no)
     query = state.queries.get(disconnected.query_no)
     if query is None:
         return
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -9,6 +9,7 @@
 from hyssopproxy import quantile
 from hyssopproxy.engine import budget
 from hyssopproxy.engine import datagram
+from hyssopproxy.engine import event
 from hyssopproxy.engine import model
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import stall
@@ -30,6 +31,9 @@
     retry_slack: float = 0.0
     stop_grace_s: float = 6.0  # time from SIGTERM to SIGKILL
     link_mbps: float = 0.0  # bandwidth of the link of this VM
+    quota_window_s: float = 5.0  # sliding window in which the limit of an organisation holds
+    quota_overrun: float = 0.0  # fraction by which the fleet may exceed that limit
+    quota_slack: float = 0.0  # requests by which it may exceed it besides
 
 
 @attrs.define(eq=False)
@@ -116,12 +120,29 @@
     deadline: float  # latest time to answer
     caller_deadline: float  # when the timeout of the caller expires
     objective_at: float  # end of the latency objective; a later answer is of little value
+    key_digest: bytes | None = attrs.field(default=None, repr=False)  # of the caller's key
+    organisation: model.Organisation | None = None  # of the caller, if it has a known key
     parts: list[Part] = attrs.field(factory=list)
     open_parts: int = 0
     answered_parts: int = 0
     extra_attempts: int = 0  # hedges, and retries of requests that a target may have received
     next_due_at: float = float("inf")  # time of the next `QueryDue` event
 
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 is the most urgent; the organisation's goes before the route's."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+
+@attrs.frozen(eq=False)
+class Admission:
+    """A request that is yet to be admitted; nothing has been sent for it."""
+
+    arrived: event.RequestArrived
+    query: Query
+
 
 @attrs.define(eq=False)
 class RouteStatistics:
--- a/hyssopproxy/platform/document.py
+++ b/hyssopproxy/platform/document.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import hashlib
 import json
 import re
 import typing
@@ -20,6 +21,9 @@
 UNREAD_KEY = "(unread)"  # stands for the keys of items that could not be read
 MAX_SLOTS = 10_000
 MAX_COLD_LEFT_S = 600.0  # longest cold start that a leaf may state
+KEY_DIGEST_BYTES = 16
+MAX_RATE_PER_S = 1e9
+_TENANT_NAME = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _TARGET_ID = re.compile(r"[!-~]{1,200}")  # it is sent as a header's value
 _IDEMPOTENT_TYPE = "idempotent"
 MAX_TIME_MS = 1e9
@@ -53,6 +57,7 @@
     gather: tuple[str, ...] | None = None
     top_k: Whole = 0
     min_coverage: float = 0.0
+    public: bool = False  # callers need no key
 
 
 class _Backend(msgspec.Struct, frozen=True, rename="camel"):
@@ -68,11 +73,22 @@
     idle_timeout_ms: Milliseconds = 30000.0
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
+    """An organisation."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: Whole | None = None
+    rate_per_s: typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_PER_S)] = 0.0
+    burst: typing.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_PER_S)] = 0.0
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: Count
     routes: tuple[_Route, ...]
     backends: tuple[_Backend, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 class _Server(msgspec.Struct, frozen=True, rename="camel"):
@@ -214,9 +230,42 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
+        key_owners=_find_key_owners(config.tenants or ()),
+        requires_keys=bool(config.tenants),
     )
 
 
+def _find_key_owners(tenants: tuple[_Tenant, ...]) -> dict[bytes, model.Organisation]:
+    """Return the organisations by the digests of their keys.
+
+    Raise ValueError for a name that cannot be a header's value, for an empty key, and for a name or
+    key that two organisations have. No error contains a key.
+    """
+    owners: dict[bytes, model.Organisation] = {}
+    names = set()
+    for tenant in tenants:
+        if not _TENANT_NAME.fullmatch(tenant.name) or tenant.name in names:
+            raise ValueError(f"tenant {tenant.name!r}: the name is invalid or not unique")
+        names.add(tenant.name)
+        organisation = model.Organisation(
+            tenant.name, tenant.priority, tenant.rate_per_s, tenant.burst
+        )
+        for key in tenant.api_keys:
+            digest = digest_key(key.encode())
+            if not key or owners.setdefault(digest, organisation) is not organisation:
+                raise ValueError(f"tenant {tenant.name!r}: a key is empty or not unique")
+    return owners
+
+
+def digest_key(key: bytes) -> bytes:
+    """Return a digest of a caller's key, so that the key itself is not kept or logged.
+
+    >>> len(digest_key(b"k"))
+    16
+    """
+    return hashlib.blake2b(key, digest_size=KEY_DIGEST_BYTES).digest()
+
+
 def _make_route(route: _Route) -> model.Route:
     if route.gather:
         split: tuple[model.WeightedPool, ...] = ()
@@ -241,6 +290,7 @@
         shards=route.gather or (),
         least_coverage=route.min_coverage,
         top_k=route.top_k,
+        is_public=route.public,
     )
 
 
--- a/hyssopproxy/platform/header.py
+++ b/hyssopproxy/platform/header.py
@@ -10,10 +10,13 @@
 EXPECTED_INSTANCE = b"expected-instance"
 NOT_EXECUTED = b"not-executed"
 RETRY_AFTER = b"retry-after"
+KEY = b"key"  # the caller's; never forwarded
+TENANT = b"tenant"  # name of the organisation that has the key
 WARMUP_REMAINING = b"warmup-remaining"  # milliseconds until the leaf has warmed up
 
 SEND_DEADLINE = b"Deadline-Ms"
 SEND_EXPECTED_INSTANCE = b"Expected-Instance"
+SEND_TENANT = b"Tenant"
 SEND_RETRY_AFTER = b"Retry-After"
 SEND_PART_STAMPS = b"Part-Stamps"
 SEND_MISSING_PARTS = b"Missing-Parts"
--- a/hyssopproxy/platform/ingress.py
+++ b/hyssopproxy/platform/ingress.py
@@ -7,6 +7,7 @@
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
+from hyssopproxy.platform import document
 from hyssopproxy.platform import header
 from hyssopproxy.platform import record
 from hyssopproxy.transport import message
@@ -14,6 +15,7 @@
 
 # Headers that the daemon sets for each leaf.
 _REPLACED_HEADERS = frozenset((header.DEADLINE, header.EXPECTED_INSTANCE))
+_KEY_HEADERS = frozenset((header.KEY, header.TENANT))
 MAX_MS_DIGITS = 12  # longer times are not plausible
 _STATUS_BY_REFUSAL = {model.Refusal.DEADLINE_EXCEEDED: 504}
 
@@ -37,6 +39,7 @@
     ) -> None:
         self.requests: dict[int, ForwardedRequest] = {}
         self.closes_connections = False  # close each connection after its response
+        self.requires_keys = False  # the configuration has organisations
         self._query_nos: dict[server.Connection, int] = {}
         self._post = post
         self._next_number = next_number
@@ -60,7 +63,9 @@
             return
         query_no = self._next_number()
         self._query_nos[connection] = query_no
-        self.requests[query_no] = _make_forwarded_request(request, request_id, connection)
+        excluded = _REPLACED_HEADERS | _KEY_HEADERS if self.requires_keys else _REPLACED_HEADERS
+        self.requests[query_no] = _make_forwarded_request(request, request_id, connection, excluded)
+        key = request.get_header(header.KEY) if self.requires_keys else None
         self._post(
             event.RequestArrived(
                 query_no=query_no,
@@ -68,6 +73,7 @@
                 host=host.partition(b":")[0].decode("latin-1").lower(),
                 path=request.target.decode("latin-1"),
                 time_left_s=parse_ms(request.get_header(header.DEADLINE)),
+                key_digest=None if key is None else document.digest_key(key),
             )
         )
 
@@ -103,8 +109,10 @@
         headers = []
         if refusal.reason is model.Refusal.NO_ROUTE:
             status = 404
+        elif refusal.reason is model.Refusal.UNKNOWN_KEY and refusal.is_not_run:
+            status = 401
         elif refusal.is_not_run:
-            status = 503
+            status = 429 if refusal.reason is model.Refusal.OVER_QUOTA else 503
             headers.append((header.SEND_RETRY_AFTER, b"%.2f" % refusal.retry_after_s))
         else:
             status = _STATUS_BY_REFUSAL.get(refusal.reason, 502)
@@ -119,9 +127,12 @@
 
 
 def _make_forwarded_request(
-    request: message.Request, request_id: bytes, connection: server.Connection
+    request: message.Request,
+    request_id: bytes,
+    connection: server.Connection,
+    excluded: typing.Container[bytes],
 ) -> ForwardedRequest:
-    headers = message.end_to_end_headers(request.headers, _REPLACED_HEADERS)
+    headers = message.end_to_end_headers(request.headers, excluded)
     if request.body or request.method not in (b"GET", b"HEAD"):
         headers.append((b"Content-Length", b"%d" % len(request.body)))
     head = request.method + b" " + request.target + b" HTTP/1.1\r\n"
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -185,10 +185,12 @@
         loop = asyncio.get_running_loop()
         timeout_s = attempt.time_left_s + RESPONSE_GRACE_S
         exchange.timer = loop.call_later(timeout_s, self._time_out, exchange)
-        attempt_headers = (
+        attempt_headers = [
             (header.SEND_DEADLINE, b"%d" % max(1, int(attempt.time_left_s * 1000))),
             (header.SEND_EXPECTED_INSTANCE, attempt.target_id.encode("latin-1", "replace")),
-        )
+        ]
+        if attempt.organisation:
+            attempt_headers.append((header.SEND_TENANT, attempt.organisation.encode("ascii")))
         data = request.head + message.encode_headers(attempt_headers) + b"\r\n" + request.body
 
         def is_expected(response: message.Response) -> bool:
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -70,6 +70,7 @@
         self.ingress.closes_connections = self.state.unready_reason in ("stopping", "isolated")
         if self.state.table is not None:
             self.ingress.limits = self.state.table.limits
+            self.ingress.requires_keys = self.state.table.requires_keys
 
     def _reduce(self, event: typing.Any, effects: list) -> None:
         reducer.reduce(self.state, event, clock.read(), effects)
--- a/hyssopproxy/transport/message.py
+++ b/hyssopproxy/transport/message.py
@@ -25,6 +25,7 @@
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     410: b"Gone",
--- a/tests/engine/world.py
+++ b/tests/engine/world.py
@@ -248,12 +248,17 @@
     # requests
 
     def send_request(
-        self, path: str = "/s/x", time_left_s: float | None = 1.2, host: str = "h"
+        self,
+        path: str = "/s/x",
+        time_left_s: float | None = 1.2,
+        host: str = "h",
+        key_digest: bytes | None = None,
     ) -> int:
         """Send a request to the daemon; return its number."""
         number = self.state.next_number()
         self._arrival_times[number] = self.now
-        self.post(event.RequestArrived(number, f"id-{number}", host, path, time_left_s))
+        request_id = f"id-{number}"
+        self.post(event.RequestArrived(number, request_id, host, path, time_left_s, key_digest))
         return number
 
     def send_load(self, per_s: float, seconds: float, **fields: typing.Any) -> list[int]:
--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -67,6 +67,48 @@
     assert change.value is None and change.error
 
 
+def make_tenant(name, *keys, **fields):
+    return {"name": name, "apiKeys": keys, "priority": 1, "ratePerS": 12, "burst": 3, **fields}
+
+
+def test_tenants_are_decoded_into_organisations_by_key():
+    tenants = [make_tenant("acme", "k1", "k2"), make_tenant("beta", "k3", priority=0)]
+    table = decode("op/config", make_config(tenants=tenants)).value
+    owners = [table.key_owners[document.digest_key(key)] for key in (b"k1", b"k2", b"k3")]
+    assert [owner.name for owner in owners] == ["acme", "acme", "beta"]
+    assert (owners[0].priority, owners[0].rate_per_s, owners[0].burst) == (1, 12.0, 3.0)
+    assert table.requires_keys and not table.routes[0].is_public
+
+
+def test_configuration_without_tenants_requires_no_keys():
+    assert not decode("op/config", make_config()).value.requires_keys
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [make_tenant("acme", "k1"), make_tenant("beta", "k1")],
+        [make_tenant("acme", "k1"), make_tenant("acme", "k2")],
+        [make_tenant("", "k1")],
+        [make_tenant("acme\r\nX: 1", "k1")],
+        [make_tenant("acme", "")],
+        [make_tenant("acme", 5)],
+        [make_tenant("acme", "k1", ratePerS=-1)],
+        [make_tenant("acme", "k1", burst="3")],
+    ],
+)
+def test_invalid_tenants_are_rejected_without_a_key_in_the_reason(tenants):
+    change = decode("op/config", make_config(tenants=tenants))
+    assert change.value is None and change.error and "k1" not in change.error
+
+
+def test_many_keys_are_found_at_constant_cost():
+    tenants = [
+        make_tenant(f"o{index}", *(f"k{index}-{n}" for n in range(10))) for index in range(1000)
+    ]
+    assert len(decode("op/config", make_config(tenants=tenants)).value.key_owners) == 10_000
+
+
 def test_server_is_decoded_into_target_entry():
     entry = decode("servers/i-1", make_server()).value
     assert (entry.id, entry.pool, entry.cold_left_s, entry.started_at_ms) == ("i-1", "p", 1.5, 99)
--- a/tests/platform/test_service.py
+++ b/tests/platform/test_service.py
@@ -224,6 +224,39 @@
     sites.run_scenario(scenario)
 
 
+def test_key_is_replaced_by_tenant_until_a_version_removes_it():
+    """Guards against keys that reach a leaf or stay valid on a connection that is kept."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        site.tenants = [{"name": "acme", "apiKeys": ["k-1"], "priority": 0}]
+        site.publish(sites.plain_route())
+
+        async def is_key_required():
+            return (await site.get(daemon, "/p/x")).status == 401
+
+        await sites.wait_for(is_key_required, "the keys")
+        headers = {"Key": "k-1", "tenant": "beta"}
+        reader, writer = await site.connect(daemon)
+        writer.write(site.make_request("/p/kept", headers=headers))
+        assert (await sites.read_response(reader))[0].status == 200
+        (run,) = [run for run in runs_of(site, "p") if run.target == "/p/kept"]
+        assert "key" not in run.headers and run.headers["tenant"] == "acme"
+        site.tenants = [{"name": "acme", "apiKeys": ["k-2"], "priority": 0}]
+        site.publish(sites.plain_route())
+
+        async def is_key_removed():
+            return (await site.get(daemon, "/p/x", headers={"Key": "k-1"})).status == 401
+
+        await sites.wait_for(is_key_removed, "the removal of the key")
+        writer.write(site.make_request("/p/kept", headers=headers))
+        assert (await sites.read_response(reader))[0].status == 401
+        assert not any("k-1" in str(line) for line in daemon.log)
+        writer.close()
+
+    sites.run_scenario(scenario)
+
+
 def test_repartition_never_mixes_parts_of_two_versions():
     """Guards against responses that mix two shard sets while the configuration changes.
 
