Targets that state that they leave or are closed get no requests that they do not want

The daemon took what targets state of themselves only from published entries: a target that said so in its answers was sent requests until its entry changed, and a 503 with a retry time held back requests for at most 0.6 s, and then only while another target was there.

platform/statement.py reads both headers from the head of every response, also of one that is cut, a copy, late on an idle connection, or of another target at the address. engine/closing.py applies them to the incarnation that answered: a leaving target is the last choice until its drain time (setting drainMs, 5,000) ends and is then excluded, its kept connections closed; a closed one is excluded until its time, at most 60 s, has passed, returns spread over the daemons and with one request first. Requests that wait for a connection are withdrawn at once. placement.opens_at and engine/coverage.py refuse requests that closed targets cannot serve, before anything is sent and with the earliest time. Connections are kept for each incarnation apart.

Ruled out: ending leaving targets at the statement, since a pool may have nothing else; and waiting for a closed target beyond a quarter of the objective.

--- a/bench/site.py
+++ b/bench/site.py
@@ -117,6 +117,7 @@
         self.daemons: list[Daemon] = []
         self.version = 1
         self.grace_s = 6.0  # between SIGTERM and SIGKILL, for settings written from now on
+        self.drain_ms = 5000  # of leaving leaves, for settings written from now on
         self._ids = itertools.count(1)
         self.last_request_id = b""
         self._directory = tempfile.TemporaryDirectory()
@@ -210,7 +211,8 @@
             f'control = "{daemon.host}:{ports["control"]}"\n'
             f'[platform]\naddress = "{self.store_address}"\n'
             "[bounds]\nretryRatio = 0.2\nretrySlack = 56\nretryWindowS = 10\n"
-            f"graceS = {self.grace_s}\nquotaWindowS = 5\nquotaOverrun = 0.25\nquotaSlack = 20\n"
+            f"graceS = {self.grace_s}\ndrainMs = {self.drain_ms}\n"
+            "quotaWindowS = 5\nquotaOverrun = 0.25\nquotaSlack = 20\n"
         )
         # Replaced as a whole, since a daemon that is starting may read the file at any moment.
         new_path = f"{daemon.settings_path}.new"
--- a/hyssopproxy/emulator/replica.py
+++ b/hyssopproxy/emulator/replica.py
@@ -22,9 +22,23 @@
     body: bytes
 
 
+@attrs.define
+class Arrival:
+    """A request that reached the leaf, whether it ran or not."""
+
+    at: float  # monotonic clock
+    request_id: str
+    born: int
+    says_leaving: bool  # its answer states that the leaf leaves
+    closed_until: float  # end of the time that a 503 in answer to it states; 0 for none
+
+
 class Replica:
     """Emulated leaf; `fault` may change at any time.
 
+    `leave` and `close_itself` make it state so in its answers, `restart` begins an incarnation that
+    does not.
+
     Faults: shed, other (another leaf has the address), error, silent, reset, truncate, garbage,
     extra (a stale response precedes the valid one), unframed (no Content-Length), unsigned (no
     Server-Stamp), cut (the response ends after `cut_bytes`), copy (a second copy of the response
@@ -46,10 +60,16 @@
         self.pause_s = 0.0
         self.runs: list[Run] = []
         self.aborted: list[str] = []  # requests whose connection closed while they were processed
+        self.arrivals: list[Arrival] = []
+        self.born = 1
+        self.is_leaving = False
+        self.closed_until = 0.0  # monotonic clock
+        self.retry_after = ""  # what it states instead of the time until then
         self.connections = 0
         self.address = ""
         self.counters: collections.Counter = collections.Counter()
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self._last_responses: dict[asyncio.StreamWriter, list[bytes]] = {}
 
     async def start(self, host: str) -> None:
@@ -63,16 +83,38 @@
         if self._server is not None:
             self._server.close()
 
+    def leave(self) -> None:
+        """State in every answer from now on that it leaves; it serves what it still gets."""
+        self.is_leaving = True
+
+    def close_itself(self, seconds: float, retry_after: str = "") -> None:
+        """Refuse requests for a time with 503 and Retry-After, as not executed."""
+        self.closed_until = time.monotonic() + seconds
+        self.retry_after = retry_after
+
+    def restart(self) -> None:
+        """Begin a new incarnation at the same address; it accepts requests."""
+        self.born += 1
+        self.is_leaving = False
+        self.closed_until = 0.0
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def _stated_headers(self) -> list[tuple[str, str]]:
+        return [("Server-Leaving", "1")] if self.is_leaving else []
+
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while await self._serve_request(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             self.counters["connections_broken"] += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_request(
@@ -87,9 +129,18 @@
         headers = {key.lower(): value for key, _, value in pairs}
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         run = Run(headers.get("request-id", ""), method, target, headers, body)
+        now = time.monotonic()
+        closed_until = self.closed_until if now < self.closed_until else 0.0
+        arrival = Arrival(now, run.request_id, self.born, self.is_leaving, closed_until)
+        self.arrivals.append(arrival)
         if self.fault == "other" or headers.get("expected-instance") != self.name:
             return await self._send_response(writer, 421, [("Instance-Id", "other")], b"")
-        shed_headers = [("Not-Executed", "1")]
+        shed_headers = [("Not-Executed", "1"), *self._stated_headers()]
+        if closed_until:
+            stated = self.retry_after or f"{closed_until - now:.3f}"
+            return await self._send_response(
+                writer, 503, [*shed_headers, ("Retry-After", stated)], b""
+            )
         if self.fault == "shed":
             return await self._send_response(writer, 503, shed_headers, b"")
         if self.fault == "copy_shed":
@@ -120,6 +171,7 @@
         headers = [("Server-Stamp", f"{self.name}.{run.request_id}")]
         if self.echoes_id:
             headers.append(("Request-Id", run.request_id))
+        headers += self._stated_headers()
         body = b"".join(self.records) or f"{self.name} {run.target}".encode()
         if self.fault == "silent":
             await asyncio.sleep(3600)
@@ -193,6 +245,6 @@
         "state": "ready",
         "warmupLeftMs": 0,
         "sequence": 1,
-        "born": 1,
+        "born": replica.born,
         **fields,
     }
--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -4,6 +4,7 @@
 executed the request, and randomised retry times keep callers from returning all at once.
 """
 
+from hyssopproxy.engine import coverage
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
@@ -12,6 +13,9 @@
 from hyssopproxy.engine import state as states
 
 MIN_RETRY_AFTER_S = 0.2  # about the time until a starting daemon or shedding target has capacity
+# Spread of the callers that wait for a closed target, whose return itself is spread; the retry time
+# has two decimals, and half of this more than makes up for the rounding.
+OPENING_SPREAD_S = 0.1
 KILL_MARGIN_S = 0.5  # time between the last answers and SIGKILL
 Refusal = model.Refusal
 
@@ -37,16 +41,26 @@
 
 
 def refuse_new(
-    state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
+    state: states.State,
+    arrived: event.RequestArrived,
+    reason: Refusal,
+    now: float,
+    out: list,
+    opening_s: float = 0.0,
 ) -> None:
-    """Refuse a request before anything is sent to a target."""
-    retry_after_s = _retry_after_s(state, now)
+    """Refuse a request before anything is sent to a target.
+
+    `opening_s` is the time until targets accept it, 0 if unknown.
+    """
+    retry_after_s = _retry_after_s(state, now, opening_s)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
         "reason": reason.value,
         "version": state.table.version if state.table else 0,
     }
+    if opening_s > 0.0:
+        fields["opening_s"] = round(opening_s, 3)
     out.append(effect.Log("request_refused", fields, is_urgent=True))
     out.append(effect.Refuse(arrived.query_no, reason, True, retry_after_s))
 
@@ -92,16 +106,19 @@
     is_not_run = not any(part.runs > 0 for part in query.parts)
     state.counters[f"refused_{reason.value}"] += 1
     log_outcome(state, query, reason.value, now, out)
-    out.append(effect.Refuse(query.number, reason, is_not_run, _retry_after_s(state, now)))
+    retry_after_s = _retry_after_s(state, now, coverage.opening_s(state, query, now))
+    out.append(effect.Refuse(query.number, reason, is_not_run, retry_after_s))
 
 
-def _retry_after_s(state: states.State, now: float) -> float:
+def _retry_after_s(state: states.State, now: float, opening_s: float = 0.0) -> float:
     """Return the time after which a caller should retry, randomised to avoid synchronised retries.
 
     While this daemon is isolated, this is at least the time until the balancer sends callers to
-    another failure domain.
+    another failure domain, and at least the time until its targets open, if that is known.
     """
     jitter = 0.5 + state.rng.random()
+    if opening_s > 0.0:
+        return max(opening_s + OPENING_SPREAD_S * jitter, reach.time_to_failover_s(state, now))
     return max(MIN_RETRY_AFTER_S * jitter, reach.time_to_failover_s(state, now))
 
 
--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -126,9 +126,11 @@
 
 
 def handle_tick(state: states.State, now: float, out: list) -> None:
-    """Delete targets that were removed more than `REMOVED_RETENTION_S` ago."""
+    """Delete targets that were removed more than `REMOVED_RETENTION_S` ago and are not closed."""
     for key, target in list(state.targets.items()):
-        if target.removed_at is not None and now - target.removed_at > REMOVED_RETENTION_S:
+        if target.removed_at is None or now <= target.closed_until:
+            continue
+        if now - target.removed_at > REMOVED_RETENTION_S:
             _drop_target(state, key, out)
             state.sync.removed_revisions.pop(key, None)
 
@@ -141,4 +143,4 @@
     pool.pop(key, None)
     if not pool:
         state.pools.pop(target.entry.pool, None)
-    out.append(effect.CloseTarget(target.id))
+    out.append(effect.CloseTarget(target.id, target.entry.started_at_ms))
--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -24,17 +24,20 @@
     max_connections: int  # this daemon's share of the target's connection limit
     top_k: int | None = None  # records needed of a shard's answer; None for a plain request
     organisation: str = ""  # name of the organisation of the caller, told to the target
+    started_at_ms: int = 0  # of the target's incarnation; each has its own connections
 
 
 @attrs.frozen
 class Cancel:
     """Cancel an attempt; one that has not been written yet is never sent.
 
-    With `only_unsent`, an attempt that has been written continues and keeps its connection.
+    With `only_unsent`, an attempt that has been written continues and keeps its connection. With
+    `ends_unsent`, one that has not been written ends at once, so that it can go elsewhere.
     """
 
     attempt_no: int
     only_unsent: bool = False
+    ends_unsent: bool = False
 
 
 @attrs.frozen
@@ -117,9 +120,10 @@
 
 @attrs.frozen
 class CloseTarget:
-    """Close the idle connections to a target that is no longer used."""
+    """Close the connections to a target that is no longer used, busy ones after their answer."""
 
     target_id: str
+    started_at_ms: int = 0  # of its incarnation
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -39,6 +39,17 @@
     detail: str = ""  # why there is no valid answer
 
 
+@attrs.frozen
+class TargetStated:
+    """A target stated that it leaves or is closed, on any answer, also one that is discarded."""
+
+    target_id: str
+    started_at_ms: int | None  # of its incarnation; None for the one that is published now
+    is_leaving: bool = False
+    closed_s: float = 0.0  # time for which it accepts no requests
+    ignored: str = ""  # a stated time that cannot be used
+
+
 @attrs.frozen
 class QueryDue:
     """A request's next decision is due: a hedge, or its answer."""
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -9,6 +9,7 @@
 
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import catalog
+from hyssopproxy.engine import closing
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import membership
@@ -111,6 +112,7 @@
     sync.handle_tick,
     membership.handle_tick,
     catalog.handle_tick,
+    closing.handle_tick,
     query.record_overdue_attempts,
     report.handle_tick,
     reach.handle_tick,
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -4,6 +4,7 @@
 unreachable failure domains, and targets in their cold start.
 """
 
+from hyssopproxy.engine import closing
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
@@ -44,6 +45,7 @@
         reach.record_request(state, best.entry.failure_domain, now)
         state.pick_count += 1
         best.last_pick = state.pick_count
+        closing.record_pick(best, now)
         _take_cold_token(state, best, now)
     return best
 
@@ -51,7 +53,9 @@
 def _tier(state: states.State, part: states.Part, target: states.Target, now: float) -> int | None:
     """Return the target's tier, or None if it is not eligible."""
     entry = target.entry
-    if target.is_misdirected:
+    if target.is_misdirected or now >= closing.leaves_at(state, target):
+        return None
+    if closing.is_closed(target, now):
         return None
     if state.evacuated_domains and entry.failure_domain in state.evacuated_domains.values():
         return None
@@ -67,6 +71,8 @@
         return _LEAVING if now - target.removed_at < REMOVED_GRACE_S else None
     if target.draining_since is not None:
         return _LEAVING if now - target.draining_since < DRAIN_GRACE_S else None
+    if target.leaving_since is not None:
+        return _LEAVING if now >= target.backoff_until else None
     if now < target.backoff_until:
         return _BACKED_OFF if _may_probe(target, now) else None
     return _SHEDDING if now < target.shed_until else _HEALTHY
@@ -157,6 +163,7 @@
     # Randomised so that the daemons' first requests to a cold target do not coincide.
     target.cold_tokens = state.rng.random()
     target.cold_tokens_at = now
+    closing.restore(state, target)
     _update_draining(target, now)
     record_cold_start(target, entry.cold_left_s, now)
     if has_just_started:
@@ -179,12 +186,38 @@
     return False
 
 
-def has_healthy_target(state: states.State, pool: str, now: float) -> bool:
-    """Return whether a pool has a target that is reachable, in service and not backed off."""
+def opens_at(state: states.State, pool: str, now: float) -> float:
+    """Return when a target of the pool accepts requests: `now` if one does, infinity if unknown.
+
+    A leaving target accepts requests until its drain time ends. Backoffs do not count.
+    """
+    evacuated = state.evacuated_domains.values()
+    earliest = float("inf")
+    for target in state.pools.get(pool, {}).values():
+        domain = target.entry.failure_domain
+        if target.is_misdirected or domain in evacuated or reach.is_lost(state, domain, now):
+            continue
+        if target.removed_at is not None and now - target.removed_at >= REMOVED_GRACE_S:
+            continue
+        if target.draining_since is not None and now - target.draining_since >= DRAIN_GRACE_S:
+            continue
+        at = max(now, target.closed_until)
+        if at < closing.leaves_at(state, target):
+            earliest = min(earliest, at)
+    return earliest
+
+
+def has_healthy_target(state: states.State, pool: str, now: float, wait_s: float = 0.0) -> bool:
+    """Return whether a pool has a target that is reachable, in service and not backed off.
+
+    A closed target counts if its time ends within `wait_s`.
+    """
     return any(
         not target.is_misdirected
         and target.removed_at is None
         and target.draining_since is None
+        and target.leaving_since is None
+        and now + wait_s >= target.closed_until
         and now >= target.backoff_until
         and target.entry.failure_domain not in state.domain_lost_at
         and target.entry.failure_domain not in state.evacuated_domains.values()
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -7,6 +7,8 @@
 
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import budget
+from hyssopproxy.engine import closing
+from hyssopproxy.engine import coverage
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import health
@@ -48,7 +50,8 @@
     query = _create_query(state, route, arrived, now)
     refusal = _find_refusal(state, query, now)
     if refusal is not None:
-        answer.refuse_new(state, arrived, refusal, now, out)
+        opening_s = coverage.opening_s(state, query, now)
+        answer.refuse_new(state, arrived, refusal, now, out, opening_s)
         return
     admission = states.Admission(arrived, query)
     decision = quota.decide(state, admission, now, out)
@@ -60,7 +63,8 @@
     """Send a request whose admission was pending, unless it has to be refused meanwhile."""
     refusal = _find_refusal(state, admission.query, now)
     if refusal is not None:
-        answer.refuse_new(state, admission.arrived, refusal, now, out)
+        opening_s = coverage.opening_s(state, admission.query, now)
+        answer.refuse_new(state, admission.arrived, refusal, now, out, opening_s)
         return
     _start(state, admission.query, now, out)
 
@@ -82,24 +86,13 @@
         return Refusal.UNKNOWN_KEY
     if len(state.queries) >= MAX_QUERIES:
         return Refusal.OVERLOADED
-    if not _can_reach_least_coverage(state, query, now):
-        return Refusal.COVERAGE_TOO_LOW
+    if not coverage.can_serve(state, query, MAX_WAIT_FRACTION * query.route.objective_s, now):
+        return Refusal.COVERAGE_TOO_LOW if query.route.is_search else Refusal.NO_TARGET
     if not answer.can_finish(state, query, now):
         return Refusal.STOPPING
     return None
 
 
-def _can_reach_least_coverage(state: states.State, query: states.Query, now: float) -> bool:
-    """Return whether enough shards of a search have a reachable target.
-
-    Only lasting conditions count, such as a lost or evacuated domain; a backoff does not.
-    """
-    if not query.route.is_search or not (state.domain_lost_at or state.evacuated_domains):
-        return True
-    reachable = sum(placement.has_reachable_target(state, part.pool, now) for part in query.parts)
-    return reachable > 0 and reachable / len(query.parts) >= query.route.least_coverage
-
-
 def _create_query(
     state: states.State, route: model.Route, arrived: event.RequestArrived, now: float
 ) -> states.Query:
@@ -185,15 +178,15 @@
 def _wait_for_target(state: states.State, part: states.Part, reason: str, now: float) -> None:
     """Mark a part for a retry at the next tick; give it up after the maximum wait.
 
-    It is given up immediately if its pool has no healthy target.
+    It is given up immediately if its pool has no healthy target. Only a part of a search waits for
+    a closed target.
     """
     if part.waiting_since is None:
         part.waiting_since = now
-    max_wait_s = MAX_WAIT_FRACTION * part.query.route.objective_s
-    if (
-        not placement.has_healthy_target(state, part.pool, now)
-        or now - part.waiting_since >= max_wait_s
-    ):
+    route = part.query.route
+    left_s = part.waiting_since + MAX_WAIT_FRACTION * route.objective_s - now
+    opening_s = left_s if route.is_search else 0.0
+    if left_s <= 0.0 or not placement.has_healthy_target(state, part.pool, now, opening_s):
         part.reason = f"{part.reason} {reason}".strip()
         _give_up(part, reason)
         return
@@ -251,11 +244,12 @@
             target_id=target.id,
             address=target.entry.address,
             time_left_s=max(0.001, min(query.caller_deadline, query.deadline) - now),
-            not_after=now + SEND_GRACE_S,
+            not_after=min(now + SEND_GRACE_S, closing.leaves_at(state, target)),
             needs_fresh_connection=not route.is_idempotent,
             max_connections=placement.connection_share(state, target, now),
             top_k=route.top_k if route.is_search else None,
             organisation=query.organisation.name if query.organisation is not None else "",
+            started_at_ms=target.entry.started_at_ms,
         )
     )
 
@@ -306,6 +300,7 @@
     target = attempt.target
     outcome = ended.outcome
     state.counters[f"attempts_{outcome.value}"] += 1
+    closing.record_ended(state, attempt, outcome, now, out)
     latency = state.statistics(attempt.part.query.route).latency
     if outcome is not Outcome.ANSWERED and outcome.may_have_arrived:
         health.record_silent(state, attempt, now)
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from hyssopproxy.engine import closing
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import membership
@@ -30,6 +31,7 @@
     event.RequestArrived: query.handle_arrived,
     event.CallerDisconnected: query.handle_disconnected,
     event.AttemptEnded: query.handle_ended,
+    event.TargetStated: closing.handle_stated,
     event.QueryDue: query.handle_due,
     event.CancelDue: query.handle_cancel_due,
     event.RequestFailed: query.handle_request_failed,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -31,6 +31,7 @@
     retry_slack: float = 0.0
     stop_grace_s: float = 6.0  # time from SIGTERM to SIGKILL
     link_mbps: float = 0.0  # bandwidth of the link of this VM
+    drain_s: float = 5.0  # time from a target's statement that it leaves to its last request
     quota_window_s: float = 5.0  # sliding window in which the limit of an organisation holds
     quota_overrun: float = 0.0  # fraction by which the fleet may exceed that limit
     quota_slack: float = 0.0  # requests by which it may exceed it besides
@@ -45,6 +46,12 @@
     removed_at: float | None = None  # when its published entry was removed
     draining_since: float | None = None
     is_misdirected: bool = False  # another target answered at its address
+    leaving_since: float | None = None  # when it stated that it leaves
+    has_left: bool = False  # its drain time has ended
+    closed_until: float = NEVER  # the end that it stated, and this daemon's part of the spread
+    is_returning: bool = False  # it was closed, and has not executed a request since
+    first_sent_at: float = NEVER  # when a returning target got a request that is in flight
+    has_odd_time: bool = False  # it stated a time that was logged as bounded or ignored
     attempts: dict[int, "Attempt"] = attrs.field(factory=dict)  # in flight by number, oldest first
     slowness: float = 1.0  # moving average of latency divided by the median of the route
     slowness_at: float = NEVER
@@ -234,6 +241,9 @@
     new_member_ips: list[str] = attrs.field(factory=list)  # daemons that have just started
     pools: dict[str, dict[str, Target]] = attrs.field(factory=dict)  # pool -> key -> target
     evacuated_domains: dict[str, str] = attrs.field(factory=dict)  # key -> failure domain
+    stating_targets: dict[Target, None] = attrs.field(factory=dict)  # leaving or closed
+    # When targets stated that they leave, by id and start time, the oldest first.
+    departures: dict[tuple[str, int], float] = attrs.field(factory=dict)
     domain_faults: dict[str, int] = attrs.field(factory=dict)  # consecutive unanswered requests
     domain_lost_at: dict[str, float] = attrs.field(factory=dict)
     domain_probed_at: dict[str, float] = attrs.field(factory=dict)
--- a/hyssopproxy/platform/header.py
+++ b/hyssopproxy/platform/header.py
@@ -12,6 +12,8 @@
 RETRY_AFTER = b"retry-after"
 KEY = b"key"  # the caller's; never forwarded
 TENANT = b"tenant"  # name of the organisation that has the key
+SERVER_LEAVING = b"server-leaving"  # "1" in any answer of a leaf that leaves
+INSTANCE_ID = b"instance-id"  # of the leaf that answers 421
 WARMUP_REMAINING = b"warmup-remaining"  # milliseconds until the leaf has warmed up
 
 SEND_DEADLINE = b"Deadline-Ms"
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import collections
+import contextlib
 import errno
+import functools
 import typing
 
 import attrs
+import httptools
 
 from hyssopproxy import limit
 from hyssopproxy.engine import effect
@@ -14,6 +17,7 @@
 from hyssopproxy.platform import header
 from hyssopproxy.platform import ingress
 from hyssopproxy.platform import record
+from hyssopproxy.platform import statement
 from hyssopproxy.transport import buffer
 from hyssopproxy.transport import client
 from hyssopproxy.transport import clock
@@ -42,14 +46,34 @@
     name none, the stamps are remembered for as long as the connection is used, so that each is
     taken once. A response with neither ends the use of its connection, since its copy could not be
     told from the next response.
+
+    `report` is called with the status and the headers of every response, as soon as its head is
+    complete: what a leaf states of itself holds also if its response is a copy, late or cut.
     """
 
-    def __init__(self, limits: limit.ResponseLimits, account: buffer.Account) -> None:
+    def __init__(
+        self,
+        limits: limit.ResponseLimits,
+        account: buffer.Account,
+        report: typing.Callable[[int, message.Headers], None] | None = None,
+    ) -> None:
         super().__init__(limits, account)
+        self._report = report
+        self._head_bytes = limits.head_bytes
         self.is_reusable = True  # a copy of any of its responses would be recognised
         self._names_requests = False
         self._unnamed_stamps: set[bytes] = set()  # of the responses that name no request
 
+    def on_headers_complete(self) -> None:
+        if self._report is not None:
+            self._report(self._parser.get_status_code(), self._headers)
+        super().on_headers_complete()
+
+    def skip(self, data: bytes) -> None:
+        """Read the head of a late response, after which the connection is closed."""
+        with contextlib.suppress(httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parser.feed_data(data[: self._head_bytes])
+
     def is_response_to(self, request_id: bytes, response: message.Response) -> bool:
         """Return whether a response belongs to the request in flight."""
         echoed = response.get_header(header.REQUEST_ID)
@@ -76,6 +100,14 @@
     connection: _LeafConnection | None = None  # None until the request is written
     timer: asyncio.TimerHandle | None = None
     is_cancelled: bool = False
+    is_last: bool = False  # its connection carries no further request
+
+
+_Key = tuple[str, int]  # id and start time of a leaf: connections to one incarnation
+
+
+def _key_of(attempt: effect.Send) -> _Key:
+    return attempt.target_id, attempt.started_at_ms
 
 
 class LeafClient:
@@ -90,70 +122,79 @@
         self._post = post
         self._limits = limits
         self._account = account
-        self._idle: dict[str, list[_LeafConnection]] = {}  # by target id, most recently used last
+        self._idle: dict[_Key, list[_LeafConnection]] = {}  # most recently used last
         self._exchanges: dict[int, _Exchange] = {}
-        self._in_flight: collections.Counter = collections.Counter()  # by target id
+        self._in_flight: collections.Counter = collections.Counter()  # by key
         self._tasks: set[asyncio.Task] = set()
 
     def send(self, attempt: effect.Send, request: ingress.ForwardedRequest) -> None:
         """Send an attempt on an idle connection, or on a new one if there is none."""
         exchange = _Exchange(attempt, request)
         max_idle_s = FRESH_IDLE_S if attempt.needs_fresh_connection else float("inf")
-        connection = self._acquire_idle(attempt.target_id, max_idle_s)
+        connection = self._acquire_idle(_key_of(attempt), max_idle_s)
         self._exchanges[attempt.attempt_no] = exchange
-        self._in_flight[attempt.target_id] += 1
+        self._in_flight[_key_of(attempt)] += 1
         if connection is not None:
-            self._write(exchange, connection)
+            self._handle_connected(exchange, connection)
             return
         self._evict_idle(attempt)
         task = asyncio.get_running_loop().create_task(self._connect(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def cancel(self, attempt_no: int, only_unsent: bool) -> None:
+    def cancel(self, attempt_no: int, only_unsent: bool, ends_unsent: bool = False) -> None:
         """Cancel an attempt; a request that is not yet written is never sent.
 
-        With `only_unsent`, a request that was written continues.
+        With `only_unsent`, a request that was written continues. With `ends_unsent`, one that was
+        not ends as expired at once, otherwise once its connection is open.
         """
         exchange = self._exchanges.get(attempt_no)
         if exchange is None:
             return
         exchange.is_cancelled = True
+        if exchange.connection is None and ends_unsent:
+            exchange.is_last = True
+            self._end_attempt(exchange, Outcome.EXPIRED)
         if exchange.connection is not None and not only_unsent:
             self._remove(attempt_no)
             exchange.timer.cancel()
             exchange.connection.close()
 
-    def close_target(self, target_id: str) -> None:
-        """Close the idle connections to a leaf."""
-        for connection in self._idle.pop(target_id, ()):
+    def close_target(self, key: _Key) -> None:
+        """Close the idle connections to a leaf, and those in use after their response."""
+        for connection in self._idle.pop(key, ()):
             connection.close()
+        for exchange in self._exchanges.values():
+            if _key_of(exchange.attempt) == key:
+                exchange.is_last = True
 
-    def _acquire_idle(self, target_id: str, max_idle_s: float) -> _LeafConnection | None:
+    def _acquire_idle(self, key: _Key, max_idle_s: float) -> _LeafConnection | None:
         now = clock.read()
         usable = []
-        for connection in self._idle.pop(target_id, ()):
+        for connection in self._idle.pop(key, ()):
             if connection.is_usable(now):
                 usable.append(connection)
             else:
                 connection.close()
         if not usable:
             return None
-        self._idle[target_id] = usable
+        self._idle[key] = usable
         return usable.pop() if usable[-1].idle_s(now) <= max_idle_s else None
 
     def _evict_idle(self, attempt: effect.Send) -> None:
         """Close idle connections so that a new one stays within the daemon's share of the limit."""
-        idle = self._idle.get(attempt.target_id, [])
-        while idle and len(idle) + self._in_flight[attempt.target_id] > attempt.max_connections:
+        key = _key_of(attempt)
+        idle = self._idle.get(key, [])
+        while idle and len(idle) + self._in_flight[key] > attempt.max_connections:
             idle.pop(0).close()
 
     async def _connect(self, exchange: _Exchange) -> None:
         host, _, port = exchange.attempt.address.rpartition(":")
         loop = asyncio.get_running_loop()
+        make_connection = functools.partial(self._make_connection, exchange.attempt)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(self._make_connection, host, int(port))
+                _, connection = await loop.create_connection(make_connection, host, int(port))
         except TimeoutError:
             self._end_attempt(exchange, Outcome.CONNECT)
         except OSError as error:
@@ -165,13 +206,22 @@
         else:
             self._handle_connected(exchange, connection)
 
-    def _make_connection(self) -> _LeafConnection:
-        return _LeafConnection(self._limits, self._account)
+    def _make_connection(self, attempt: effect.Send) -> _LeafConnection:
+        report = functools.partial(self._report, attempt.target_id, attempt.started_at_ms)
+        return _LeafConnection(self._limits, self._account, report)
+
+    def _report(
+        self, target_id: str, started_at_ms: int, status: int, headers: message.Headers
+    ) -> None:
+        """Post what a leaf states of itself."""
+        stated = statement.parse(target_id, started_at_ms, status, headers)
+        if stated is not None:
+            self._post(stated)
 
     def _handle_connected(self, exchange: _Exchange, connection: _LeafConnection) -> None:
         now = clock.read()
         if exchange.is_cancelled or now > exchange.attempt.not_after:
-            self._release(exchange.attempt.target_id, connection)
+            self._release(exchange, connection)
             self._end_attempt(exchange, Outcome.EXPIRED)
         elif connection.is_usable(now):
             self._write(exchange, connection)
@@ -211,7 +261,7 @@
         if response is None:
             self._end_attempt(exchange, _OUTCOME_BY_FAILURE[failure], detail=failure.value)
             return
-        self._release(exchange.attempt.target_id, exchange.connection)
+        self._release(exchange, exchange.connection)
         outcome = classify(response)
         reply: message.Response | record.Part = response
         top_k = exchange.attempt.top_k
@@ -232,19 +282,20 @@
         exchange.connection.close()
         self._end_attempt(exchange, Outcome.TIMEOUT)
 
-    def _release(self, target_id: str, connection: _LeafConnection) -> None:
-        if connection.is_reusable and connection.is_usable(clock.read()):
-            self._idle.setdefault(target_id, []).append(connection)
+    def _release(self, exchange: _Exchange, connection: _LeafConnection) -> None:
+        is_kept = connection.is_reusable and not exchange.is_last
+        if is_kept and connection.is_usable(clock.read()):
+            self._idle.setdefault(_key_of(exchange.attempt), []).append(connection)
         else:
             connection.close()
 
     def _remove(self, attempt_no: int) -> _Exchange | None:
         exchange = self._exchanges.pop(attempt_no, None)
         if exchange is not None:
-            target_id = exchange.attempt.target_id
-            self._in_flight[target_id] -= 1
-            if self._in_flight[target_id] <= 0:
-                del self._in_flight[target_id]
+            key = _key_of(exchange.attempt)
+            self._in_flight[key] -= 1
+            if self._in_flight[key] <= 0:
+                del self._in_flight[key]
         return exchange
 
     def _end_attempt(
--- a/hyssopproxy/platform/nodefile.py
+++ b/hyssopproxy/platform/nodefile.py
@@ -84,6 +84,7 @@
         retry_slack=bounds.number("retrySlack", 0.0),
         stop_grace_s=bounds.number("graceS", 6.0),
         link_mbps=reader.section("limits").number("linkMbps", 0.0),
+        drain_s=bounds.number("drainMs", 5000.0) / 1000,
         quota_window_s=bounds.number("quotaWindowS", 5.0),
         quota_overrun=bounds.number("quotaOverrun", 0.0),
         quota_slack=bounds.number("quotaSlack", 0.0),
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -109,7 +109,7 @@
             self._leaf_client.send(effect, request)
 
     def _cancel(self, effect: effects.Cancel) -> None:
-        self._leaf_client.cancel(effect.attempt_no, effect.only_unsent)
+        self._leaf_client.cancel(effect.attempt_no, effect.only_unsent, effect.ends_unsent)
 
     def _deliver(self, effect: effects.Deliver) -> None:
         self.ingress.deliver(effect)
@@ -141,7 +141,7 @@
         self._peer_transport.sendto(data, (effect.ip, self._peer_port))
 
     def _close_target(self, effect: effects.CloseTarget) -> None:
-        self._leaf_client.close_target(effect.target_id)
+        self._leaf_client.close_target((effect.target_id, effect.started_at_ms))
 
     def _log(self, effect: effects.Log) -> None:
         if effect.name == "request":
--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -112,6 +112,9 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def skip(self, data: bytes) -> None:
+        """Handle bytes that belong to no request; the connection is closed afterwards."""
+
     def drop_buffer(self) -> None:
         """End the exchange because all connections together buffer too much."""
         self._must_close = True
@@ -123,6 +126,7 @@
     def data_received(self, data: bytes) -> None:
         if self._callback is None:
             self._must_close = True
+            self.skip(data)
             self.close()
             return
         body_bytes = self._received_body_bytes
--- a/tests/engine/world.py
+++ b/tests/engine/world.py
@@ -33,6 +33,8 @@
     is_down: bool = False  # connections are refused
     is_silent: bool = False  # requests get no answer
     fixed_outcome: model.Outcome | None = None  # immediate outcome of each request
+    is_leaving: bool = False  # states so in each answer
+    closed_until: float = 0.0  # refuses requests until then and states the time
     pause_period_s: float = 0.0
     pause_length_s: float = 0.0
     pause_phase_s: float = 0.0
@@ -55,6 +57,8 @@
         if self.fixed_outcome is not None:
             return network_delay_s + 0.001, self.fixed_outcome
         self.arrivals.append(now)
+        if now < self.closed_until:
+            return network_delay_s + 0.001, model.Outcome.SHED
         draw = self.rng.random()
         if draw < self.shed_fraction:
             return network_delay_s + 0.001, model.Outcome.SHED
@@ -217,6 +221,11 @@
         if answer is None:
             answer = send.time_left_s + 0.3, model.Outcome.TIMEOUT
         delay, outcome = answer
+        closed_s = max(0.0, replica.closed_until - self.now)
+        if replica.is_leaving or closed_s:
+            incarnation = send.target_id, send.started_at_ms
+            stated = event.TargetStated(*incarnation, replica.is_leaving, closed_s)
+            self._schedule(self.now + delay, stated)
         ended = event.AttemptEnded(send.attempt_no, outcome, reply=send.target_id)
         self._schedule(self.now + delay, ended)
 
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -9,7 +9,7 @@
 WIRE_NAMES = re.compile(
     r"(?i)server-stamp|part-stamps|missing-parts|expected-instance|not-executed|deadline-ms"
     r"|warmup-remaining|kv-(key|range|watch)|op/config|op/evacuate|readinessAddr|internalPorts"
-    r"|min_?coverage|target_?latency_?ms|path_?prefix|max_?concurrency|warmup_?left|traffic_?split"
+    r"|min_?coverage|target_?latency_?ms|path_?prefix|max_?concurrency|warmup_?left|traffic_?split|server-leaving|drainMs"
 )
 IMPURE_IMPORT = re.compile(
     r"^\s*(import|from) (asyncio|time|socket|os|select|threading|httptools)\b", re.M
