The soak draws leaves that leave or close themselves, and checks what they then get

Nothing checked under faults that leaves which say in an answer that they leave, or are closed for a time, get no more requests than they may.

Links of such a leaf get no other fault meanwhile, as a stalled link delivers requests late.

--- a/hyssopproxy/emulator/replica.py
+++ b/hyssopproxy/emulator/replica.py
@@ -30,7 +30,7 @@
     request_id: str
     born: int
     says_leaving: bool  # its answer states that the leaf leaves
-    closed_until: float  # end of the time that a 503 in answer to it states; 0 for none
+    closed_until: float  # end of the time that its answer, a 503, states; 0 for none
 
 
 class Replica:
@@ -131,7 +131,8 @@
         run = Run(headers.get("request-id", ""), method, target, headers, body)
         now = time.monotonic()
         closed_until = self.closed_until if now < self.closed_until else 0.0
-        arrival = Arrival(now, run.request_id, self.born, self.is_leaving, closed_until)
+        stated_until = 0.0 if self.retry_after else closed_until
+        arrival = Arrival(now, run.request_id, self.born, self.is_leaving, stated_until)
         self.arrivals.append(arrival)
         if self.fault == "other" or headers.get("expected-instance") != self.name:
             return await self._send_response(writer, 421, [("Instance-Id", "other")], b"")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 REQUEST_INTERVAL_S = 0.01  # pause between two requests of a caller
 RECOVERY_TIMEOUT_S = 12.0  # time from the last fault until every daemon must serve again
 LEAF_FAULTS = ("shed", "error", "reset", "truncate", "garbage", "extra", "unframed", "silent")
+DRAIN_MS = 1000  # shorter than in operation, so that it ends while faults are injected
 LINK_FAULTS = ("reset", "cut", "stall_up", "stall_down", "delay")
 
 
@@ -32,6 +33,7 @@
         self._faults_until = time.monotonic() + seconds
         self._ledger = check.Ledger(site)
         self._affected_hosts: set[str] = set()  # daemons that a fault currently affects
+        self._affected_leaves: set[str] = set()  # leaves whose link or entry a fault affects
         self.faults: list[str] = []
 
     async def run(self) -> check.Ledger:
@@ -39,6 +41,7 @@
         stop = asyncio.Event()
         callers = [asyncio.create_task(self._send_requests(stop)) for _ in range(CALLERS)]
         fault_tasks = [asyncio.create_task(self._inject_faults()) for _ in range(3)]
+        fault_tasks.append(asyncio.create_task(self._inject_statements()))
         await asyncio.gather(*fault_tasks)
         await self._check_recovery()
         stop.set()
@@ -53,20 +56,24 @@
             with contextlib.suppress(OSError, TimeoutError, ValueError):
                 reader, writer = await self._site.connect(daemon)
                 try:
-                    while not stop.is_set() and await self._send_request(reader, writer):
+                    while not stop.is_set() and await self._send_request(daemon, reader, writer):
                         await asyncio.sleep(REQUEST_INTERVAL_S)
                 finally:
                     writer.close()
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
     async def _send_request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        daemon: sites.Daemon,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         kind = self._rng.choice(("search", "search", "plain", "unsafe"))
         target = {"search": "/s/x", "plain": "/p/x", "unsafe": "/u/x"}[kind]
         request_id = self._site.next_request_id()
         if kind == "unsafe":
             self._ledger.non_idempotent.add(request_id)
+        self._ledger.record.senders[request_id] = daemon.host, time.monotonic()
         writer.write(self._site.make_request(target, 1200, headers={"Request-Id": request_id}))
         try:
             async with asyncio.timeout(3.0):
@@ -111,11 +118,18 @@
             return
         daemon = self._rng.choice(unaffected)
         self._affected_hosts.add(daemon.host)
+        self._record_disturbance(daemon, fault)
         try:
             await fault(daemon)
         finally:
+            self._record_disturbance(daemon, fault)
             self._affected_hosts.discard(daemon.host)
 
+    def _record_disturbance(self, daemon: sites.Daemon, fault: typing.Callable) -> None:
+        """Record that a daemon forgets or is late; SIGHUP is no reason for that."""
+        if fault != self._send_sighups:
+            self._ledger.record.disturbances.append((daemon.host, time.monotonic()))
+
     async def _kill(self, daemon: sites.Daemon) -> None:
         self._record_fault(f"kill {daemon.host}")
         daemon.signal(signal.SIGKILL)
@@ -177,6 +191,9 @@
 
     async def _inject_link_fault(self) -> None:
         name = self._rng.choice(list(self._site.links))
+        if name in self._affected_leaves:
+            return
+        self._affected_leaves.add(name)
         link = self._site.links[name]
         fault = self._rng.choice(LINK_FAULTS)
         self._record_fault(f"link {name} {fault}")
@@ -190,6 +207,7 @@
         await asyncio.sleep(self._rng.uniform(0.2, 2.0))
         link.faults.cut = link.faults.stall_up = link.faults.stall_down = False
         link.faults.delay_ms = link.faults.jitter_ms = 0.0
+        self._affected_leaves.discard(name)
 
     async def _inject_store_fault(self) -> None:
         fault = self._rng.choice(("refuse", "silent", "compact"))
@@ -207,8 +225,39 @@
         self._record_fault(f"configure {shards}")
         publish(self._site, shards)
 
+    async def _inject_statements(self) -> None:
+        """Let leaves state in their answers that they leave or are closed, one after another."""
+        while time.monotonic() < self._faults_until:
+            name = self._rng.choice(list(self._site.leaves))
+            if name not in self._affected_leaves:
+                self._affected_leaves.add(name)
+                state = self._rng.choice((self._leave_leaf, self._close_leaf))
+                await state(name, self._site.leaves[name])
+                self._affected_leaves.discard(name)
+            await asyncio.sleep(self._rng.uniform(0.0, 0.3))
+
+    async def _leave_leaf(self, name: str, leaf: sites.replicas.Replica) -> None:
+        """Let a leaf leave while its entry says ready, and start its next incarnation."""
+        self._record_fault(f"{name} leaves")
+        leaf.leave()
+        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+        leaf.restart()
+        address = self._site.published_addresses[name]
+        entry = sites.replicas.make_entry(leaf, name.split("-")[1], "a", address=address)
+        self._site.store.put(f"servers/{name}", entry)
+
+    async def _close_leaf(self, name: str, leaf: sites.replicas.Replica) -> None:
+        seconds = self._rng.uniform(0.6, 2.5)
+        odd = self._rng.choice(("", "", "", "-1", "nan", "Sun, 06 Dec 2026 08:00:00 GMT"))
+        self._record_fault(f"{name} closed for {seconds:.1f} s {odd}")
+        leaf.close_itself(seconds, odd)
+        await asyncio.sleep(seconds)
+
     async def _drain_leaf(self) -> None:
         name = self._rng.choice(list(self._site.leaves))
+        if name in self._affected_leaves:
+            return
+        self._affected_leaves.add(name)
         leaf = self._site.leaves[name]
         pool = name.split("-")[1]
         self._record_fault(f"drain {name}")
@@ -219,6 +268,7 @@
         self._site.store.remove(f"servers/{name}")
         await asyncio.sleep(self._rng.uniform(0.0, 1.0))
         self._site.store.put(f"servers/{name}", entry)
+        self._affected_leaves.discard(name)
 
     async def _check_recovery(self) -> None:
         """Check that every daemon serves all routes with all shards within the time limit."""
@@ -251,6 +301,7 @@
 async def run_seed(seed: int, seconds: float) -> tuple[check.Ledger, list[str]]:
     """Run one seed and return its ledger and the injected faults."""
     site = sites.Site(has_links=True)
+    site.drain_ms = DRAIN_MS
     rng = random.Random(seed)
     try:
         await site.start_store()
--- a/soak/check.py
+++ b/soak/check.py
@@ -1,11 +1,13 @@
 """Checks the responses to callers and the runs at leaves against the guarantees of the daemon."""
 
 import collections
+import time
 
 import attrs
 
 from bench import site as sites
 from hyssopproxy.transport import message
+from soak import statement
 
 TOP_K = 4  # records in a search response, as published by bench.site
 
@@ -19,6 +21,10 @@
     outcomes: collections.Counter = attrs.field(factory=collections.Counter)
     not_run: set[str] = attrs.field(factory=set)  # non-idempotent requests reported as not run
     non_idempotent: set[str] = attrs.field(factory=set)
+    record: statement.Record = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.record = statement.Record(self.site.drain_ms / 1000)
 
     def add_violation(self, text: str) -> None:
         """Record a violated guarantee."""
@@ -33,6 +39,7 @@
             self._check_search(request_id, reply)
         elif reply.status == 200:
             stamp = reply.get_header(b"server-stamp") or b""
+            self._record_answer(request_id, stamp.decode())
             if not stamp.endswith(request_id.encode()) or not reply.body.endswith(b"x"):
                 self.add_violation(f"{request_id}: response belongs to another request: {stamp!r}")
         elif reply.status in (429, 503, 408, 421) and kind == "unsafe":
@@ -40,6 +47,9 @@
         elif reply.status in (400, 404, 413, 431):
             self.add_violation(f"{request_id}: valid request rejected with status {reply.status}")
 
+    def _record_answer(self, request_id: str, stamp: str) -> None:
+        self.record.answers[request_id, stamp.partition(".")[0]] = time.monotonic()
+
     def _check_search(self, request_id: str, reply: message.Response) -> None:
         stamps = (reply.get_header(b"part-stamps") or b"").decode().split(", ")
         missing = int(reply.get_header(b"missing-parts") or b"0")
@@ -50,6 +60,7 @@
                 self.add_violation(f"{request_id}: part belongs to another request: {stamp}")
                 return
             leaves.append(name)
+            self._record_answer(request_id, stamp)
         shards = {name.split("-")[1] for name in leaves}
         if len(shards) != len(leaves):
             self.add_violation(f"{request_id}: shard occurs twice: {leaves}")
@@ -72,6 +83,9 @@
         runs = collections.Counter(
             run.request_id for leaf in self.site.leaves.values() for run in leaf.runs
         )
+        for leaf in self.site.leaves.values():
+            for violation in self.record.find_violations(leaf):
+                self.add_violation(violation)
         for request_id in self.non_idempotent:
             if runs[request_id] > 1:
                 self.add_violation(
