Test: no order of statements, entries and restarts lets a request through to a left or closed target

The cases of tests/engine/test_closing.py each cover one order. A property test draws up to 12 steps (a target leaves, closes itself, restarts, its entry lapses or is published again) with requests in between, and checks each arrival; new incarnations must serve.

--- a/tests/engine/test_closing.py
+++ b/tests/engine/test_closing.py
@@ -3,6 +3,8 @@
 import random
 
 import attrs
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
 from hyssopproxy.engine import catalog
@@ -284,3 +286,51 @@
     world.run(catalog.REMOVED_RETENTION_S + 5.0)
     world.publish(entry)
     assert "p-0" not in send_load(world)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["leave", "close", "restart", "lapse", "publish", "serve"]),
+        st.integers(0, 2),
+        st.floats(0.1, 4.0),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.settings(max_examples=40, deadline=None)
+@hypothesis.given(STEPS)
+def test_no_order_of_statements_and_entries_lets_a_request_through(steps):
+    """The same incarnation may state both, lapse and come back, or be replaced meanwhile."""
+    world = make_world(max_attempts=3)
+    left_at: dict[str, float] = {}
+    open_at: dict[str, float] = {}
+    for action, index, value in steps:
+        name, replica = f"p-{index}", world.replicas[f"p-{index}"]
+        if action == "leave" and name in world.state.targets_by_id:
+            state_leaving(world, name)
+            left_at.setdefault(name, world.now + DRAIN_S)
+        elif action == "close" and name in world.state.targets_by_id:
+            close(world, value, name)
+            open_at[name] = max(open_at.get(name, 0.0), world.now + value)
+        elif action == "restart":
+            new = attrs.evolve(replica.entry, started_at_ms=replica.entry.started_at_ms + 1000)
+            replica.entry = new
+            world.publish(new)
+            left_at.pop(name, None)
+            open_at.pop(name, None)
+        elif action == "lapse":
+            world.remove(replica.entry)
+        elif action == "publish":
+            world.publish(replica.entry)
+        since = world.now
+        world.send_load(10, value, path="/p/x")
+        for name, replica in world.replicas.items():
+            for at in [at for at in replica.arrivals if at >= since]:
+                assert open_at.get(name, 0.0) <= at < left_at.get(name, float("inf"))
+    for replica in world.replicas.values():
+        replica.entry = attrs.evolve(replica.entry, started_at_ms=10**6)
+        world.publish(replica.entry)
+    number = world.send_request("/p/x")
+    world.run(0.5)
+    assert isinstance(world.results[number].effect, effect.Deliver), "new incarnations serve"
