--- a/tests/engine/fleet.py
+++ b/tests/engine/fleet.py
@@ -6,6 +6,7 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
+from hyssopproxy.engine import model
 from tests.engine import world as worlds
 
 STEP_S = 0.005  # step of the clock and delay of a datagram
@@ -20,7 +21,15 @@
 class Fleet:
     """Daemons, `per_domain` of them in each failure domain, and the replicas of some shards."""
 
-    def __init__(self, per_domain: int, shards: int, **route: object) -> None:
+    def __init__(
+        self,
+        per_domain: int,
+        shards: int,
+        routes: tuple[model.Route, ...] = (),
+        retry_slack: float = 162.0,
+        **route: object,
+    ) -> None:
+        routes = routes or (worlds.search_route(shards, **route),)
         self.worlds: dict[str, worlds.World] = {}
         # Pairs of failure domains that cannot reach each other.
         self.partitioned_pairs: set[frozenset[str]] = set()
@@ -29,7 +38,7 @@
         self._turns: typing.Iterator[worlds.World] = iter(())
         for index, domain in itertools.product(range(per_domain), worlds.DOMAINS):
             ip = f"10.1.{worlds.DOMAINS.index(domain)}.{index}"
-            world = worlds.World(ip=ip, failure_domain=domain, retry_slack=162.0)
+            world = worlds.World(ip=ip, failure_domain=domain, retry_slack=retry_slack)
             world.rng.seed(ip)
             world.state.rng.seed(ip)
             self.worlds[ip] = world
@@ -40,7 +49,7 @@
         for world in self.worlds.values():
             world.replicas = self.replicas
             world.network_delay_s = 0.007
-            world.publish_routes(worlds.search_route(shards, **route))
+            world.publish_routes(*routes)
             world.start()
         seeds = list(self.worlds)[:3]
         for ip, world in self.worlds.items():
--- a/tests/engine/world.py
+++ b/tests/engine/world.py
@@ -36,6 +36,8 @@
     pause_period_s: float = 0.0
     pause_length_s: float = 0.0
     pause_phase_s: float = 0.0
+    has_queue: bool = False  # requests beyond its slots wait, in order of arrival
+    slots_free_at: list[float] = attrs.field(factory=list)
     arrivals: list[float] = attrs.field(factory=list)
     paused_arrivals: list[float] = attrs.field(factory=list)  # arrivals during a pause
 
@@ -66,8 +68,18 @@
             if phase < self.pause_length_s:
                 self.paused_arrivals.append(now)
                 delay += self.pause_length_s - phase
+        if self.has_queue:
+            delay += self._wait_for_slot(now, delay - network_delay_s)
         return delay, model.Outcome.ANSWERED
 
+    def _wait_for_slot(self, now: float, busy_s: float) -> float:
+        """Occupy the slot that is free first; return how long the request waits for it."""
+        waits_s = 0.0
+        if len(self.slots_free_at) >= self.entry.slots:
+            waits_s = max(0.0, heapq.heappop(self.slots_free_at) - now)
+        heapq.heappush(self.slots_free_at, now + waits_s + busy_s)
+        return waits_s
+
 
 @attrs.define(eq=False)
 class Result:
