Searches leave shards that cannot answer in time to those that need them

While all targets of two of 36 shards are slow or silent, searches that may miss five shards and searches that may miss one load the same targets, and both wait for them.

`speed` keeps the newest evidence of each target, late by more than a pause, and tells other daemons of recoveries in a datagram of a new type (tag 21). From it `scarcity.plan` estimates the time that each shard needs, leaves out at most as many shards as the search may miss, the scarcest first, and refuses a search that cannot reach its least coverage. The fleet keeps probing scarce shards.

test_running: the last search of the load was sent 50 ms before its result was read; it now gets 250 ms, its objective.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -4,6 +4,8 @@
 executed the request, and randomised retry times keep callers from returning all at once.
 """
 
+import math
+
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
@@ -152,10 +154,18 @@
 
 
 def _describe_part(part: states.Part) -> dict:
-    return {
+    description = {
         "shard": part.pool,
         "answered": part.reply is not None,
         "reason": part.reason or "outstanding",
         "runs": part.runs,
         "tried": sorted(part.tried),
     }
+    if part.needed_s is not None:
+        description["needed_ms"] = _round_ms(part.needed_s)
+    return description
+
+
+def _round_ms(seconds: float) -> int | None:
+    """Return milliseconds, None if infinite."""
+    return round(seconds * 1000) if math.isfinite(seconds) else None
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -71,7 +71,21 @@
     ip: Name  # of the sender
 
 
-Message = Gossip | Reports | LostDomains | Ping
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """An answer of a target that counted as slow or silent."""
+
+    target_id: Name
+    age_ms: Count
+    ratio: Number = 0.0  # latency divided by the typical latency; 0 if a pause delayed it
+
+
+class Answers(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """Answers that show the recovery of targets."""
+
+    answers: tuple[Answer, ...]
+
+
+Message = Gossip | Reports | LostDomains | Ping | Answers
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -105,6 +105,13 @@
     message: datagram.Reports
 
 
+@attrs.frozen
+class AnswersReceived:
+    """Answers of targets that have recovered arrived from another daemon."""
+
+    message: datagram.Answers
+
+
 @attrs.frozen
 class LostDomainsReceived:
     """Another daemon reported failure domains that it cannot reach."""
--- a/hyssopproxy/engine/health.py
+++ b/hyssopproxy/engine/health.py
@@ -8,6 +8,7 @@
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import model
 from hyssopproxy.engine import reach
+from hyssopproxy.engine import speed
 from hyssopproxy.engine import stall
 from hyssopproxy.engine import state as states
 
@@ -75,6 +76,8 @@
     reach.record_answer(state, target.entry.failure_domain, now)
     if median_s > 0.0:
         _record_latency(state, attempt, now, median_s)
+    else:
+        speed.record_answer(state, attempt, None, now)
 
 
 def _record_latency(
@@ -91,8 +94,12 @@
         if is_paused:
             state.pause_pattern.record_length(latency_s - median_s)
             state.counters["answers_paused"] += 1
+            speed.record_answer(state, attempt, None, now)
             return
+        speed.record_answer(state, attempt, ratio, now)
         ratio = _cap_single_late(target, ratio, now)
+    else:
+        speed.record_answer(state, attempt, ratio, now)
     _update_slowness(target, ratio, now)
 
 
@@ -103,6 +110,7 @@
     attempt.is_overdue = True
     if attempt.typical_latency_s > 0.0:
         ratio = (now - attempt.sent_at) / attempt.typical_latency_s
+        speed.record_late(attempt.target, attempt.sent_at, ratio, now)
         _raise_slowness(attempt.target, ratio, now)
 
 
@@ -126,6 +134,7 @@
     attempt.silent_ratio = ratio
     ratio = min(MAX_SLOWNESS, ratio)
     queue_observation(state, target, datagram.Symptom.SILENT, now, ratio)
+    speed.record_silent(target, attempt.sent_at, ratio, now)
     _record_late(target, now)
     _raise_slowness(target, _cap_single_late(target, ratio, now), now)
 
@@ -220,6 +229,7 @@
     if observation.symptom is datagram.Symptom.LATE:
         return _record_reported_late(state, target, observation, now)
     if observation.symptom is datagram.Symptom.SILENT:
+        speed.record_reported(state, target, observation)
         _record_late(target, observation.at)
         return _update_reported_slowness(
             target, _cap_single_late(target, observation.ratio, now), now
@@ -240,6 +250,7 @@
     is_single = pauses.count_since(now - LATE_WINDOW_S) < 2
     if is_single and observation.at not in pauses.off_phase_ends:
         return True  # probably a pause, which does not show that the target is slow
+    speed.record_reported(state, target, observation)
     return _update_reported_slowness(target, _cap_single_late(target, observation.ratio, now), now)
 
 
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -15,6 +15,7 @@
 from hyssopproxy.engine import query
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
+from hyssopproxy.engine import speed
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
 
@@ -113,6 +114,7 @@
     catalog.handle_tick,
     query.record_overdue_attempts,
     report.handle_tick,
+    speed.handle_tick,
     reach.handle_tick,
     query.retry_waiting_parts,
     _log_readiness_change,
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -179,6 +179,18 @@
     return False
 
 
+def is_usable(state: states.State, target: states.Target, now: float) -> bool:
+    """Return whether a request to the target is possible now, or soon for a cold or busy one."""
+    domain = target.entry.failure_domain
+    if target.is_misdirected or (now < target.backoff_until and not _may_probe(target, now)):
+        return False
+    if domain in state.domain_lost_at or domain in state.evacuated_domains.values():
+        return False
+    if target.removed_at is not None and now - target.removed_at >= REMOVED_GRACE_S:
+        return False
+    return target.draining_since is None or now - target.draining_since < DRAIN_GRACE_S
+
+
 def has_healthy_target(state: states.State, pool: str, now: float) -> bool:
     """Return whether a pool has a target that is reachable, in service and not backed off."""
     return any(
--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -155,9 +155,56 @@
         return is_past_objective and coverage >= least_coverage
 
 
+class ScarcityPolicy(abc.ABC):
+    """Decides which shards and hedges are worth a request while targets are slow or silent."""
+
+    #: Short name in settings.
+    name = ""
+
+    @abc.abstractmethod
+    def can_answer(self, needed_s: float, left_s: float) -> bool:
+        """Return whether a shard that needs `needed_s` is likely to answer within `left_s`."""
+
+    @abc.abstractmethod
+    def is_hedge_useful(self, other_s: float, remaining_s: float) -> bool:
+        """Return whether to hedge a request that is expected to take `remaining_s` longer.
+
+        `other_s` is the time that the fastest other target needs.
+        """
+
+
+class AskAll(ScarcityPolicy):
+    """Baseline: every shard is asked, and every late one hedged."""
+
+    name = "all"
+
+    def can_answer(self, needed_s: float, left_s: float) -> bool:
+        return True
+
+    def is_hedge_useful(self, other_s: float, remaining_s: float) -> bool:
+        return True
+
+
+class ExpectedTime(ScarcityPolicy):
+    """Compares the expected time with the time that is left.
+
+    Handles shards whose targets are all slow: searches that they cannot answer in time, and hedges
+    to them, take the capacity that other searches need.
+    """
+
+    name = "expected"
+
+    def can_answer(self, needed_s: float, left_s: float) -> bool:
+        return needed_s <= left_s
+
+    def is_hedge_useful(self, other_s: float, remaining_s: float) -> bool:
+        return other_s < remaining_s
+
+
 PLACEMENTS = {policy.name: policy for policy in (Random, Nearest, ExpectedLatency)}
 HEDGES = {policy.name: policy for policy in (NoHedge, Quantile)}
 WAITS = {policy.name: policy for policy in (WaitAll, AnswerAtObjective)}
+SCARCITIES = {policy.name: policy for policy in (AskAll, ExpectedTime)}
 
 
 @attrs.frozen
@@ -167,17 +214,19 @@
     placement: PlacementPolicy
     hedge: HedgePolicy
     wait: WaitPolicy
+    scarcity: ScarcityPolicy
 
 
 def from_names(names: typing.Mapping[str, str]) -> Policies:
     """Return the policies with the given names; raise `problem.UserError` for unknown names."""
     chosen = {}
     errors = []
-    kinds = {"placement": PLACEMENTS, "hedge": HEDGES, "wait": WAITS}
+    kinds = {"placement": PLACEMENTS, "hedge": HEDGES, "wait": WAITS, "scarcity": SCARCITIES}
     defaults = {
         "placement": ExpectedLatency.name,
         "hedge": Quantile.name,
         "wait": AnswerAtObjective.name,
+        "scarcity": ExpectedTime.name,
     }
     for kind, classes in kinds.items():
         name = names.get(kind, defaults[kind])
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -16,6 +16,7 @@
 from hyssopproxy.engine import placement
 from hyssopproxy.engine import quota
 from hyssopproxy.engine import routing
+from hyssopproxy.engine import scarcity
 from hyssopproxy.engine import state as states
 
 CALLER_TRANSIT_S = 0.015  # network time of a request and its answer between caller and daemon
@@ -68,9 +69,11 @@
 def _start(state: states.State, query: states.Query, now: float, out: list) -> None:
     """Send a request to its shards."""
     state.queries[query.number] = query
+    scarcity.leave_out(state, query, now)
     for part in query.parts:
-        _record_first_attempt(state, part.pool, now)
-        _send_or_wait(state, part, now, out)
+        if part.is_open:
+            _record_first_attempt(state, part.pool, now)
+            _send_or_wait(state, part, now, out)
     _finish_or_schedule(state, query, now, out)
 
 
@@ -86,7 +89,7 @@
         return Refusal.COVERAGE_TOO_LOW
     if not answer.can_finish(state, query, now):
         return Refusal.STOPPING
-    return None
+    return scarcity.plan(state, query, now).refusal
 
 
 def _can_reach_least_coverage(state: states.State, query: states.Query, now: float) -> bool:
@@ -153,11 +156,6 @@
     return _pool_budget(state, pool).can_send_extra(now, settings.retry_ratio, slack, is_hedge)
 
 
-def _typical_latency_s(state: states.State, route: model.Route) -> float:
-    median_s = state.statistics(route).latency.median
-    return median_s if median_s > 0.0 else route.objective_s * 0.2
-
-
 def _send_or_wait(state: states.State, part: states.Part, now: float, out: list) -> None:
     """Send a part that has no attempt in flight; without a target or budget, retry it later."""
     query = part.query
@@ -175,7 +173,7 @@
     reason = "retry_budget"
     if not part.may_have_arrived or has_budget(state, part.pool, now, is_hedge=False):
         reason = "no_target"
-        target = placement.pick(state, part, _typical_latency_s(state, route), now)
+        target = placement.pick(state, part, state.typical_latency_s(route), now)
         if target is not None:
             _send(state, part, target, now, out)
             return
@@ -217,7 +215,7 @@
 ) -> None:
     query = part.query
     route = query.route
-    typical_latency_s = _typical_latency_s(state, route)
+    typical_latency_s = state.typical_latency_s(route)
     statistics = state.statistics(route)
     delay_s = state.policies.hedge.delay_s(
         statistics.latency.read(), statistics.latency.median, route.objective_s
@@ -377,7 +375,7 @@
         state.counters["hedges_over_budget"] += 1
         part.reason = "hedge_budget"
         return
-    target = placement.pick(state, part, _typical_latency_s(state, route), now, is_hedge=True)
+    target = placement.pick(state, part, state.typical_latency_s(route), now, is_hedge=True)
     if target is None:
         part.reason = "no_hedge_target"
         return
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -8,6 +8,7 @@
 from hyssopproxy.engine import query
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
+from hyssopproxy.engine import speed
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
 
@@ -38,6 +39,7 @@
     event.ReadFailed: sync.handle_read_failed,
     event.GossipReceived: membership.handle_gossip,
     event.ReportsReceived: report.handle_reports,
+    event.AnswersReceived: speed.handle_answers,
     event.LostDomainsReceived: reach.handle_lost_domains,
     event.PingReceived: membership.handle_ping,
     event.SettingsChanged: lifecycle.handle_settings,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -48,6 +48,13 @@
     attempts: dict[int, "Attempt"] = attrs.field(factory=dict)  # in flight by number, oldest first
     slowness: float = 1.0  # moving average of latency divided by the median of the route
     slowness_at: float = NEVER
+    recent_ratio: float = 1.0  # newest latency divided by the typical one; see `speed`
+    recent_ratio_at: float = NEVER
+    slow_since: float = float("inf")  # first late answer after the last one in good time
+    silent_since: float = float("inf")  # when the oldest request without an answer was sent
+    silent_at: float = NEVER  # newest time when a request was known to have no answer
+    answered_at: float = NEVER  # newest answer known, to this daemon or another
+    recovered_at: float = NEVER  # when the request was sent whose answer showed a recovery
     late_at: float = NEVER  # first of the newest late or missing answers that belong together
     earlier_late_at: float = NEVER  # the same of those before
     consecutive_faults: int = 0
@@ -101,6 +108,7 @@
     waiting_since: float | None = None  # since when no target or retry budget has been available
     is_given_up: bool = False
     reason: str = ""  # why it has no answer
+    needed_s: float | None = None  # time that its shard needs, if it was left out for that
 
     @property
     def is_open(self) -> bool:
@@ -229,6 +237,10 @@
     pause_pattern: stall.PausePattern = attrs.field(factory=stall.PausePattern)
     # By target id and symptom, until they are reported to other daemons.
     pending_observations: dict[tuple[str, int], Observation] = attrs.field(factory=dict)
+    # By target id, time and ratio of an answer that shows a recovery, until it is reported.
+    pending_answers: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    answers_sent_at: float = NEVER
+    probe_at: dict[str, float] = attrs.field(factory=dict)  # pool -> next probe while scarce
     report_tokens: float = 0.0  # token bucket that limits datagrams with reports
     report_tokens_at: float = NEVER
     new_member_ips: list[str] = attrs.field(factory=list)  # daemons that have just started
@@ -267,6 +279,11 @@
         self.last_number += 1
         return self.last_number
 
+    def typical_latency_s(self, route: model.Route) -> float:
+        """Return the median latency of a route's parts, or a guess while there are no samples."""
+        median_s = self.statistics(route).latency.median
+        return median_s if median_s > 0.0 else route.objective_s * 0.2
+
     def statistics(self, route: model.Route) -> RouteStatistics:
         """Return the statistics of a route; create them on first use."""
         statistics = self.route_statistics.get(route.name)
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -190,6 +190,7 @@
 PEER_EVENTS: dict[type, type] = {
     datagram.Gossip: events.GossipReceived,
     datagram.Reports: events.ReportsReceived,
+    datagram.Answers: events.AnswersReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
 }
--- a/tests/engine/fleet.py
+++ b/tests/engine/fleet.py
@@ -13,6 +13,7 @@
 _EVENTS = {
     datagram.Gossip: event.GossipReceived,
     datagram.Reports: event.ReportsReceived,
+    datagram.Answers: event.AnswersReceived,
     datagram.LostDomains: event.LostDomainsReceived,
     datagram.Ping: event.PingReceived,
 }
--- a/tests/engine/scarce.py
+++ b/tests/engine/scarce.py
@@ -1,10 +1,17 @@
-"""Replays of loads in which a few shards can hardly answer; run as a module it prints figures."""
+"""Replays of loads in which a few shards can hardly answer.
+
+`python -m tests.engine.scarce POLICY [LOAD...]` prints figures for a scarcity policy.
+"""
 
 import collections
 import random
 import sys
 
+import attrs
+
 from hyssopproxy.engine import effect
+from hyssopproxy.engine import model
+from hyssopproxy.engine import policy
 from tests.engine import fleet as fleets
 from tests.engine import world as worlds
 
@@ -119,13 +126,30 @@
 
 
 def late_replicas(replay: Replay) -> list[int]:
-    """Half of the replicas of all shards pause at random times; few hedges are allowed."""
+    """All targets pause at other times than before, for long, and few hedges are allowed."""
+    for replica in replay.replicas.values():
+        replica.pause_period_s, replica.pause_length_s = 2.4, 0.25
+        replica.pause_phase_s = 2.4 * replica.rng.random()
+    for world in replay.worlds.values():
+        world.state.settings = attrs.evolve(world.state.settings, retry_slack=0.0)
+    return list(range(SHARDS))
+
+
+def unsteady_replicas(replay: Replay) -> list[int]:
+    """Each target pauses at a period of its own, so that no pause can be predicted."""
     for replica in replay.replicas.values():
-        replica.pause_period_s = 1.3 + 0.8 * replica.rng.random()
+        replica.pause_period_s = 2.4 + 3.6 * replica.rng.random()
         replica.pause_length_s = 0.2
     return list(range(SHARDS))
 
 
+def moved_replicas(replay: Replay) -> list[int]:
+    """Another target answers at the address of one replica of each of 18 shards."""
+    for replica in replay.replicas_of(*range(18))[::3]:
+        replica.fixed_outcome = model.Outcome.MISDIRECTED
+    return list(range(18))
+
+
 def calm(replay: Replay) -> list[int]:
     """Nothing but the pauses."""
     return []
@@ -141,6 +165,8 @@
         lost_shard,
         slow_replicas,
         late_replicas,
+        unsteady_replicas,
+        moved_replicas,
     )
 }
 
@@ -196,7 +222,10 @@
 
 
 if __name__ == "__main__":
-    fleet = Replay()
-    fleet.send_both(10.0)
-    for name in sys.argv[1:] or LOADS:
-        print(measure(fleet, name), flush=True)
+    policy_name, *names = sys.argv[1:]
+    for name in names or LOADS:
+        fleet = Replay()
+        for world in fleet.worlds.values():
+            world.state.policies = policy.from_names({"scarcity": policy_name})
+        fleet.send_both(10.0)
+        print(policy_name, measure(fleet, name), flush=True)
--- a/tests/engine/test_running.py
+++ b/tests/engine/test_running.py
@@ -127,6 +127,7 @@
     for pool, budget in world.state.budgets.items():
         allowed = budget.allowance(world.now, world.state.settings.retry_ratio, 56.0 / 8)
         assert budget.extra_attempts <= allowed, pool
+    world.run(0.25)
     assert all(not isinstance(world.results[number].effect, effect.Refuse) for number in numbers)
 
 
