No hedge goes to a shard whose other targets are no faster

A hedge is sent after a few times the typical latency, also if all targets of the shard are known to need longer. It then adds load where capacity is short and uses up the budget that retries need.

`scarcity.is_hedge_useful` compares the time that the fastest other target needs with the time that the late request is still expected to take.

--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -371,6 +371,8 @@
     if not answer.can_finish(state, part.query, now):
         part.reason = "stopping"
         return
+    if not scarcity.is_hedge_useful(state, part, now):
+        return
     if not has_budget(state, part.pool, now, is_hedge=True):
         state.counters["hedges_over_budget"] += 1
         part.reason = "hedge_budget"
--- a/tests/engine/test_scarcity.py
+++ b/tests/engine/test_scarcity.py
@@ -162,6 +162,25 @@
     assert world.results[number].effect.missing == 0
 
 
+def start_hedge(world, copies):
+    """Return the hedges sent for a search while some targets of a shard are slow."""
+    for replica in world.replicas.values():
+        if replica.entry.pool == "s3":
+            replica.service_time_s = 0.3
+    slow_down(world, "s3", copies)
+    world.effects.clear()
+    world.send_request()
+    world.run(0.15)
+    sent = [item.target_id for item in world.effects if is_send(item)]
+    return sum(target_id.startswith("s3-") for target_id in sent) - 1
+
+
+def test_hedge_is_sent_only_if_another_target_is_faster():
+    """Guards against hedges that double the load of a shard whose targets are all slow."""
+    assert start_hedge(make_world(objective_s=1.0, timeout_s=2.0), copies=3) == 0
+    assert start_hedge(make_world(objective_s=1.0, timeout_s=2.0), copies=2) == 1
+
+
 def test_baseline_leaves_nothing_out_and_refuses_nothing():
     world = make_world(least_coverage=0.95)
     world.state.policies = policy.from_names({"scarcity": "all"})
