A daemon that stood still does not take its targets for silent

After a freeze of the daemon all its requests look late, as it has not read their answers yet, and searches would have been refused or have left shards out. Requests sent before the freeze are no evidence, and a single report of another daemon, which may have been frozen, shows no lasting silence.

test_daemon_that_stood_still_does_not_take_targets_for_silent fails without the check.

--- a/hyssopproxy/engine/health.py
+++ b/hyssopproxy/engine/health.py
@@ -110,7 +110,8 @@
     attempt.is_overdue = True
     if attempt.typical_latency_s > 0.0:
         ratio = (now - attempt.sent_at) / attempt.typical_latency_s
-        speed.record_late(attempt.target, attempt.sent_at, ratio, now)
+        if speed.has_waited(state, attempt.sent_at, now):
+            speed.record_late(attempt.target, attempt.sent_at, ratio, now)
         _raise_slowness(attempt.target, ratio, now)
 
 
@@ -134,7 +135,8 @@
     attempt.silent_ratio = ratio
     ratio = min(MAX_SLOWNESS, ratio)
     queue_observation(state, target, datagram.Symptom.SILENT, now, ratio)
-    speed.record_silent(target, attempt.sent_at, ratio, now)
+    if speed.has_waited(state, attempt.sent_at, now):
+        speed.record_silent(target, attempt.sent_at, ratio, now)
     _record_late(target, now)
     _raise_slowness(target, _cap_single_late(target, ratio, now), now)
 
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -20,7 +20,6 @@
 from hyssopproxy.engine import sync
 
 TICK_S = 0.05
-PAUSE_THRESHOLD_S = 0.5  # time without a tick after which the process counts as paused
 # Time after SIGTERM during which requests are accepted: until the balancer has failed over, and 1 s
 # longer, because one of its readiness checks may be in flight.
 ACCEPT_GRACE_S = reach.BALANCER_FAILOVER_S + 1.0
@@ -28,7 +27,8 @@
 
 def handle_tick(state: states.State, tick: event.Tick, now: float, out: list) -> None:
     """Run the periodic work and schedule the next tick."""
-    if now - state.last_tick_at > PAUSE_THRESHOLD_S and state.last_tick_at != states.NEVER:
+    if now - state.last_tick_at > speed.STANDSTILL_S and state.last_tick_at != states.NEVER:
+        state.resumed_at = now
         pause_s = round(now - state.last_tick_at, 2)
         out.append(effect.Log("paused", {"seconds": pause_s}, is_urgent=True))
         state.counters["pauses"] += 1
--- a/hyssopproxy/engine/speed.py
+++ b/hyssopproxy/engine/speed.py
@@ -24,6 +24,7 @@
 MIN_SILENCE_S = 0.6
 PAUSE_GAP_S = 1.0  # pauses are further apart, at least 2.4 s from start to start
 LATE_NOW_S = 0.25  # longest pause
+STANDSTILL_S = 0.5  # without a tick for this long, the daemon itself stood still
 MAX_RATIO = 30.0
 LOCAL_FANOUT = 3  # datagrams per round to daemons of the same failure domain
 REMOTE_FANOUT = 1  # datagrams per round to daemons of other failure domains
@@ -73,6 +74,14 @@
     target.recent_ratio_at = at
 
 
+def has_waited(state: states.State, sent_at: float, now: float) -> bool:
+    """Return whether this daemon has run since it sent a request.
+
+    After it has stood still, requests look late whose answers it has not read yet.
+    """
+    return sent_at >= state.resumed_at and now - state.last_tick_at <= STANDSTILL_S
+
+
 def record_late(target: states.Target, sent_at: float, new_ratio: float, at: float) -> None:
     """Record that a request had no answer at a time, as a multiple of the typical latency."""
     if sent_at < target.recovered_at or new_ratio < SLOW_RATIO or at < target.recent_ratio_at:
@@ -99,7 +108,9 @@
 ) -> None:
     """Record a late or missing answer that another daemon reports."""
     medians = [item.latency.median for item in state.route_statistics.values()]
-    sent_at = observation.at - observation.ratio * min(filter(None, medians), default=0.0)
+    late_s = observation.ratio * min(filter(None, medians), default=0.0)
+    # One report alone, as from a daemon that stood still itself, does not show a lasting silence.
+    sent_at = observation.at - min(late_s, LASTING_S)
     if observation.symptom is datagram.Symptom.SILENT:
         record_silent(target, sent_at, observation.ratio, observation.at)
     else:
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -270,6 +270,7 @@
     has_ended: bool = False  # `EndProcess` has been returned
     unready_reason: str = ""  # empty while ready
     last_tick_at: float = NEVER
+    resumed_at: float = NEVER  # first tick after the process had stood still
     last_number: int = 0  # returned last by `next_number`
     pick_count: int = 0  # targets picked so far
     counters: collections.Counter = attrs.field(factory=collections.Counter)
--- a/tests/engine/test_speed.py
+++ b/tests/engine/test_speed.py
@@ -95,3 +95,30 @@
     message = datagram.Answers((answer,) * speed.MAX_ANSWERS_PER_DATAGRAM)
     blob = datagram.encode(message)
     assert len(blob) < 1400 and datagram.decode(blob) == message
+
+
+def test_daemon_that_stood_still_does_not_take_targets_for_silent():
+    """Guards against searches that are refused after a freeze, as all requests look late."""
+    world = worlds.make_search_world(shards=4)
+    world.send_load(20, 3)
+    for replica in world.replicas.values():
+        replica.service_time_s = 0.3
+    world.send_request()
+    for replica in world.replicas.values():
+        replica.service_time_s = 0.02
+    held = world._queue[:]
+    world._queue.clear()
+    world.run(3.0)
+    world._queue.extend(item for item in held if not isinstance(item[2], event.AttemptEnded))
+    world.run(0.05)
+    targets = world.state.targets.values()
+    assert not any(speed.is_lasting(target, world.now) for target in targets)
+
+
+def test_single_report_of_another_daemon_does_not_show_a_lasting_silence(world):
+    target = find_target(world)
+    world.send_load(20, 2)
+    report = datagram.Report(target.id, datagram.Symptom.SILENT, 0, 30.0)
+    world.state.statistics(world.state.table.routes[0]).latency.median = 0.05
+    world.post(event.ReportsReceived(datagram.Reports("domain-c", 0.0, 0.0, (report,))))
+    assert not speed.is_lasting(target, world.now)
