Targets that state nothing cost the choice of a target one check less

The choice of a target called two functions for each target, whether it had stated anything or not. They are called only for targets that are leaving or returning now.

--- a/hyssopproxy/engine/closing.py
+++ b/hyssopproxy/engine/closing.py
@@ -139,10 +139,14 @@
     return target.is_returning and now - target.first_sent_at < FIRST_REQUEST_S
 
 
-def record_pick(target: states.Target, now: float) -> None:
-    """Record that a request goes to a target, which may be the first one after its time."""
-    if target.is_returning:
-        target.first_sent_at = now
+def accepts_requests(state: states.State, target: states.Target, now: float) -> bool:
+    """Return whether a target may get a request as far as its statements are concerned."""
+    return now < leaves_at(state, target) and not is_closed(target, now)
+
+
+def record_first_request(target: states.Target, now: float) -> None:
+    """Record that a request goes to a returning target."""
+    target.first_sent_at = now
 
 
 def record_ended(
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -45,7 +45,8 @@
         reach.record_request(state, best.entry.failure_domain, now)
         state.pick_count += 1
         best.last_pick = state.pick_count
-        closing.record_pick(best, now)
+        if best.is_returning:
+            closing.record_first_request(best, now)
         _take_cold_token(state, best, now)
     return best
 
@@ -53,9 +54,10 @@
 def _tier(state: states.State, part: states.Part, target: states.Target, now: float) -> int | None:
     """Return the target's tier, or None if it is not eligible."""
     entry = target.entry
-    if target.is_misdirected or now >= closing.leaves_at(state, target):
+    if target.is_misdirected:
         return None
-    if closing.is_closed(target, now):
+    is_stating = target.is_returning or target.leaving_since is not None
+    if is_stating and not closing.accepts_requests(state, target, now):
         return None
     if state.evacuated_domains and entry.failure_domain in state.evacuated_domains.values():
         return None
