Daemons tell each other of targets whose address another target uses

A request to such a target is refused without having run, but its retry is an extra arrival. Each daemon found out by its own request, at fleets of 72 so 72 times for each target, and with 8 requests in 10 s the budget of a pool allows one extra request, which a hedge may have used: parts were missing with `misdirected retry_budget`.

A daemon reports such a target, with its address and start, in a datagram of a new type (tag 22). Others ask it only if no other target is eligible.

--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -85,7 +85,21 @@
     answers: tuple[Answer, ...]
 
 
-Message = Gossip | Reports | LostDomains | Ping | Answers
+class MisdirectedTarget(msgspec.Struct, frozen=True, array_like=True):
+    """One start of a target at whose address another target answers."""
+
+    target_id: Name
+    address: Name
+    started_at_ms: Count
+
+
+class Misdirected(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """Targets at whose addresses other targets answer."""
+
+    targets: tuple[MisdirectedTarget, ...]
+
+
+Message = Gossip | Reports | LostDomains | Ping | Answers | Misdirected
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -112,6 +112,13 @@
     message: datagram.Answers
 
 
+@attrs.frozen
+class MisdirectedReceived:
+    """Another daemon reported targets at whose addresses other targets answer."""
+
+    message: datagram.Misdirected
+
+
 @attrs.frozen
 class LostDomainsReceived:
     """Another daemon reported failure domains that it cannot reach."""
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -12,6 +12,7 @@
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import misdirection
 from hyssopproxy.engine import query
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
@@ -115,6 +116,7 @@
     query.record_overdue_attempts,
     report.handle_tick,
     speed.handle_tick,
+    misdirection.handle_tick,
     reach.handle_tick,
     query.retry_waiting_parts,
     _log_readiness_change,
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -67,6 +67,8 @@
         return _LEAVING if now - target.removed_at < REMOVED_GRACE_S else None
     if target.draining_since is not None:
         return _LEAVING if now - target.draining_since < DRAIN_GRACE_S else None
+    if target.is_reported_misdirected:
+        return _BACKED_OFF
     if now < target.backoff_until:
         return _BACKED_OFF if _may_probe(target, now) else None
     return _SHEDDING if now < target.shed_until else _HEALTHY
@@ -182,7 +184,9 @@
 def is_usable(state: states.State, target: states.Target, now: float) -> bool:
     """Return whether a request to the target is possible now, or soon for a cold or busy one."""
     domain = target.entry.failure_domain
-    if target.is_misdirected or (now < target.backoff_until and not _may_probe(target, now)):
+    if target.is_misdirected or target.is_reported_misdirected:
+        return False
+    if now < target.backoff_until and not _may_probe(target, now):
         return False
     if domain in state.domain_lost_at or domain in state.evacuated_domains.values():
         return False
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -11,6 +11,7 @@
 from hyssopproxy.engine import event
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import misdirection
 from hyssopproxy.engine import model
 from hyssopproxy.engine import organisation
 from hyssopproxy.engine import placement
@@ -315,9 +316,7 @@
     elif outcome is Outcome.SHED:
         health.record_shed(state, target, ended.retry_after_s, now)
     elif outcome is Outcome.MISDIRECTED:
-        target.is_misdirected = True
-        fields = {"target": target.id, "address": target.entry.address}
-        out.append(effect.Log("target_address_reused", fields))
+        misdirection.record(state, target, out)
     elif outcome.is_target_fault:
         if outcome is Outcome.GARBLED:
             _log_garbled(state, attempt, ended.detail, out)
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -5,6 +5,7 @@
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import misdirection
 from hyssopproxy.engine import query
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
@@ -40,6 +41,7 @@
     event.GossipReceived: membership.handle_gossip,
     event.ReportsReceived: report.handle_reports,
     event.AnswersReceived: speed.handle_answers,
+    event.MisdirectedReceived: misdirection.handle_reported,
     event.LostDomainsReceived: reach.handle_lost_domains,
     event.PingReceived: membership.handle_ping,
     event.SettingsChanged: lifecycle.handle_settings,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -45,6 +45,7 @@
     removed_at: float | None = None  # when its published entry was removed
     draining_since: float | None = None
     is_misdirected: bool = False  # another target answered at its address
+    is_reported_misdirected: bool = False  # the same as found by another daemon
     attempts: dict[int, "Attempt"] = attrs.field(factory=dict)  # in flight by number, oldest first
     slowness: float = 1.0  # moving average of latency divided by the median of the route
     slowness_at: float = NEVER
@@ -241,6 +242,8 @@
     pending_answers: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     answers_sent_at: float = NEVER
     probe_at: dict[str, float] = attrs.field(factory=dict)  # pool -> next probe while scarce
+    pending_misdirected: list[Target] = attrs.field(factory=list)  # until they are reported
+    misdirected_sent_at: float = NEVER
     report_tokens: float = 0.0  # token bucket that limits datagrams with reports
     report_tokens_at: float = NEVER
     new_member_ips: list[str] = attrs.field(factory=list)  # daemons that have just started
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -191,6 +191,7 @@
     datagram.Gossip: events.GossipReceived,
     datagram.Reports: events.ReportsReceived,
     datagram.Answers: events.AnswersReceived,
+    datagram.Misdirected: events.MisdirectedReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
 }
--- a/tests/engine/fleet.py
+++ b/tests/engine/fleet.py
@@ -14,6 +14,7 @@
     datagram.Gossip: event.GossipReceived,
     datagram.Reports: event.ReportsReceived,
     datagram.Answers: event.AnswersReceived,
+    datagram.Misdirected: event.MisdirectedReceived,
     datagram.LostDomains: event.LostDomainsReceived,
     datagram.Ping: event.PingReceived,
 }
--- a/tests/engine/scarce.py
+++ b/tests/engine/scarce.py
@@ -150,6 +150,13 @@
     return list(range(18))
 
 
+def moved_replicas_short_budget(replay: Replay) -> list[int]:
+    """The same, while the fleet has no slack for extra requests."""
+    for world in replay.worlds.values():
+        world.state.settings = attrs.evolve(world.state.settings, retry_slack=0.0)
+    return moved_replicas(replay)
+
+
 def calm(replay: Replay) -> list[int]:
     """Nothing but the pauses."""
     return []
@@ -167,6 +174,7 @@
         late_replicas,
         unsteady_replicas,
         moved_replicas,
+        moved_replicas_short_budget,
     )
 }
 
--- a/tests/engine/test_datagram.py
+++ b/tests/engine/test_datagram.py
@@ -10,6 +10,7 @@
     ),
     datagram.LostDomains("domain-a", ("domain-b",)),
     datagram.Ping("10.9.0.1"),
+    datagram.Misdirected((datagram.MisdirectedTarget("i-1", "10.2.0.1:80", 5),)),
     datagram.Answers((datagram.Answer("i-1", 20, 1.1),)),
 )
 
