--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -13,6 +13,7 @@
 from hyssopproxy.engine import event
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import misdirection
 from hyssopproxy.engine import model
 from hyssopproxy.engine import organisation
 from hyssopproxy.engine import placement
@@ -146,7 +147,9 @@
     """Return whether the budget allows one more hedge or retry to a pool."""
     settings = state.settings
     slack = membership.slack_share(state, settings.retry_slack, now)
-    return _pool_budget(state, pool).can_send_extra(now, settings.retry_ratio, slack, is_hedge)
+    offset = membership.rounding_offset(state, pool, now)
+    pool_budget = _pool_budget(state, pool)
+    return pool_budget.can_send_extra(now, settings.retry_ratio, slack, is_hedge, offset)
 
 
 def _send_or_wait(state: states.State, part: states.Part, now: float, out: list) -> None:
@@ -310,9 +313,7 @@
     elif outcome is Outcome.SHED:
         health.record_shed(state, target, ended.retry_after_s, now)
     elif outcome is Outcome.MISDIRECTED:
-        target.is_misdirected = True
-        fields = {"target": target.id, "address": target.entry.address}
-        out.append(effect.Log("target_address_reused", fields))
+        misdirection.record(state, target, out)
     elif outcome.is_target_fault:
         if outcome is Outcome.GARBLED:
             _log_garbled(state, attempt, ended.detail, out)
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -46,6 +46,7 @@
     removed_at: float | None = None  # when its published entry was removed
     draining_since: float | None = None
     is_misdirected: bool = False  # another target answered at its address
+    is_reported_misdirected: bool = False  # the same as found by another daemon
     leaving_since: float | None = None  # when it stated that it leaves
     has_left: bool = False  # its drain time has ended
     closed_until: float = NEVER  # the end that it stated, and this daemon's part of the spread
@@ -248,6 +249,8 @@
     pending_answers: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     answers_sent_at: float = NEVER
     probe_at: dict[str, float] = attrs.field(factory=dict)  # pool -> next probe while scarce
+    pending_misdirected: list[Target] = attrs.field(factory=list)  # until they are reported
+    misdirected_sent_at: float = NEVER
     report_tokens: float = 0.0  # token bucket that limits datagrams with reports
     report_tokens_at: float = NEVER
     new_member_ips: list[str] = attrs.field(factory=list)  # daemons that have just started
@@ -272,6 +275,7 @@
     waiting_queries: set[int] = attrs.field(factory=set)  # queries with parts to retry
     sync: Sync = attrs.field(factory=Sync)
     members: dict[str, Member] = attrs.field(factory=dict)
+    rank: int = 0  # number of members whose IP address sorts before this daemon's
     heartbeat: int = 0
     next_gossip_at: float = NEVER
     stopping_since: float | None = None
