Quotas of organisations hold over the whole fleet

Cause: quota.decide admitted every request.

Change: an owner for each organisation keeps its token bucket (engine/ledger.py) and hands out credits; a daemon admits with a credit it holds, or asks and the request waits in state (engine/quota.py, engine/permit.py). The owner holds a lease that a majority of the known fleet confirmed, counted from the time at which it asked (engine/tenure.py). Without an owner, a daemon uses its share of a quarter of the amount by which the limit may be exceeded. New datagram types have the tags 10 to 13.

The free mode of docs/LOAD.md has a hole: a request per daemon that is admitted before any word of the owner breaks the bound once there are more daemons than the uncertain amount (69 daemons, an organisation of 2/s: 69 requests beside a bound of 37). Credits handed out in advance take its place; they cost a round trip only at a daemon's first request within 10 s.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -37,15 +37,23 @@
 
 
 def refuse_new(
-    state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
+    state: states.State,
+    arrived: event.RequestArrived,
+    reason: Refusal,
+    now: float,
+    out: list,
+    *,
+    min_retry_s: float = 0.0,
+    details: dict | None = None,
 ) -> None:
-    """Refuse a request before anything is sent to a target."""
-    retry_after_s = _retry_after_s(state, now)
+    """Refuse a request before anything is sent to a target; `details` go into the log line."""
+    retry_after_s = max(_retry_after_s(state, now), min_retry_s)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
         "reason": reason.value,
         "version": state.table.version if state.table else 0,
+        **(details or {}),
     }
     out.append(effect.Log("request_refused", fields, is_urgent=True))
     out.append(effect.Refuse(arrived.query_no, reason, True, retry_after_s))
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -71,7 +71,65 @@
     ip: Name  # of the sender
 
 
-Message = Gossip | Reports | LostDomains | Ping
+class QuotaItem(msgspec.Struct, frozen=True, array_like=True):
+    """Report and question of a daemon about one organisation; counts since its start."""
+
+    organisation: Count
+    used: Count  # requests admitted with credits
+    held: Count  # credits left
+    wanted: Count  # requests that wait for a credit
+    spare: Count  # credits that it would hold in advance
+    version: Count  # of the configuration that the limit is from
+    rate_per_s: Number
+    burst: Number
+
+
+class QuotaAsk(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Question for credits to the owner of some organisations."""
+
+    ip: Name  # of the sender
+    incarnation: Count
+    ask_no: Count  # increases; an answer is valid for the latest question alone
+    items: tuple[QuotaItem, ...]
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Answer about one organisation."""
+
+    organisation: Count
+    granted: Count  # requests that the daemon may admit, since its start
+    retry_ms: Count  # time until there is a token for the requests refused
+    owner: Name = ""  # set if the sender is not the owner: who may be, or "?"
+
+
+class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Answer to a question for credits."""
+
+    ip: Name  # of the sender
+    ask_no: Count
+    items: tuple[QuotaGrant, ...]
+
+
+class QuotaClaim(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """A daemon claims to own organisations for a time, or no longer does."""
+
+    ip: Name  # of the sender
+    incarnation: Count
+    claim_no: Count  # increases
+    lease_ms: Count  # 0: it gives them up
+    organisations: tuple[Count, ...]
+
+
+class QuotaVote(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Answer to a claim: confirms all organisations but those that have another owner."""
+
+    ip: Name  # of the sender
+    claim_no: Count
+    known: Count  # daemons that the sender knows, itself included
+    refused: tuple[Count, ...]
+
+
+Message = Gossip | Reports | LostDomains | Ping | QuotaAsk | QuotaAnswer | QuotaClaim | QuotaVote
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
@@ -93,4 +151,7 @@
     """Return the IP addresses that a message names; datagrams are sent to them."""
     if isinstance(message, Gossip):
         return [message.sender.ip, *(record.ip for record in message.records)]
-    return [message.ip] if isinstance(message, Ping) else []
+    if isinstance(message, QuotaAnswer):
+        owners = [item.owner for item in message.items if item.owner not in ("", "?")]
+        return [message.ip, *owners]
+    return [message.ip] if isinstance(message, Ping | QuotaAsk | QuotaClaim | QuotaVote) else []
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -119,6 +119,42 @@
     message: datagram.Ping
 
 
+@attrs.frozen
+class QuotaAskReceived:
+    """Another daemon asks for credits of organisations."""
+
+    message: datagram.QuotaAsk
+
+
+@attrs.frozen
+class QuotaAnswerReceived:
+    """The owner of organisations answered."""
+
+    message: datagram.QuotaAnswer
+
+
+@attrs.frozen
+class QuotaClaimReceived:
+    """Another daemon claims to own organisations."""
+
+    message: datagram.QuotaClaim
+
+
+@attrs.frozen
+class QuotaVoteReceived:
+    """Another daemon answered a claim."""
+
+    message: datagram.QuotaVote
+
+
+@attrs.frozen
+class QuotaDue:
+    """A question for credits should have been answered by now."""
+
+    organisation: int
+    ask_no: int
+
+
 @attrs.frozen
 class SettingsChanged:
     """The settings file was reloaded."""
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -12,11 +12,14 @@
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import permit
 from hyssopproxy.engine import query
+from hyssopproxy.engine import quota
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
+from hyssopproxy.engine import tenure
 
 TICK_S = 0.05
 PAUSE_THRESHOLD_S = 0.5  # time without a tick after which the process counts as paused
@@ -98,8 +101,9 @@
         state.has_stopped_accepting = True
         out.append(effect.StopAccepting())
     if is_kill_near:
+        quota.refuse_all(state, now, out)
         answer.finish_all(state, now, out)
-    elif not state.has_stopped_accepting or state.queries:
+    elif not state.has_stopped_accepting or state.queries or quota.has_pending(state):
         return
     if not state.has_ended:
         state.has_ended = True
@@ -114,6 +118,8 @@
     query.record_overdue_attempts,
     report.handle_tick,
     reach.handle_tick,
+    tenure.handle_tick,
+    permit.handle_tick,
     query.retry_waiting_parts,
     _log_readiness_change,
     _stop_when_due,
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -475,6 +475,7 @@
 
     Whether a target has executed it is unknown.
     """
+    quota.forget(state, failed.query_no)
     query = state.queries.get(failed.query_no)
     if query is not None:
         answer.remove_query(state, query)
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -5,11 +5,14 @@
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import membership
+from hyssopproxy.engine import permit
 from hyssopproxy.engine import query
+from hyssopproxy.engine import quota
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
+from hyssopproxy.engine import tenure
 
 Handler = typing.Callable[[states.State, typing.Any, float, list], None]
 
@@ -40,6 +43,11 @@
     event.ReportsReceived: report.handle_reports,
     event.LostDomainsReceived: reach.handle_lost_domains,
     event.PingReceived: membership.handle_ping,
+    event.QuotaAskReceived: quota.handle_ask,
+    event.QuotaAnswerReceived: permit.handle_answer,
+    event.QuotaDue: permit.handle_due,
+    event.QuotaClaimReceived: tenure.handle_claim,
+    event.QuotaVoteReceived: tenure.handle_vote,
     event.SettingsChanged: lifecycle.handle_settings,
     event.Tick: lifecycle.handle_tick,
     event.StopRequested: lifecycle.handle_stop,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -10,6 +10,7 @@
 from hyssopproxy.engine import budget
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import event
+from hyssopproxy.engine import ledger
 from hyssopproxy.engine import model
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import stall
@@ -248,6 +249,7 @@
     queries: dict[int, Query] = attrs.field(factory=dict)
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     waiting_queries: set[int] = attrs.field(factory=set)  # queries with parts to retry
+    quota: ledger.Book = attrs.field(factory=ledger.Book)
     sync: Sync = attrs.field(factory=Sync)
     members: dict[str, Member] = attrs.field(factory=dict)
     heartbeat: int = 0
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -192,6 +192,10 @@
     datagram.Reports: events.ReportsReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
+    datagram.QuotaAsk: events.QuotaAskReceived,
+    datagram.QuotaAnswer: events.QuotaAnswerReceived,
+    datagram.QuotaClaim: events.QuotaClaimReceived,
+    datagram.QuotaVote: events.QuotaVoteReceived,
 }
 
 _EXECUTORS: dict[type, typing.Callable] = {
