Quotas: a side of a partition that started alone is not taken for the fleet

Cause: after a restart of all daemons in a partition, the seven of one failure domain knew no others and confirmed an owner among themselves; two owners granted the full rate.

Change: a daemon counts a majority only after it has had contact with most seeds for 6 heartbeats, or has heard of the fleet's size from an owner. Daemons of older versions don't count, gossip tells who takes part.

--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -23,6 +23,7 @@
     revision: Count  # newest revision of published data that it has applied
     is_stale: bool = False  # its copy of the published data may be out of date
     link_mbps: Number = 0.0  # bandwidth of the link of its VM
+    has_quota: bool = False  # its version takes part in the quotas of organisations
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -118,6 +119,7 @@
     claim_no: Count  # increases
     lease_ms: Count  # 0: it gives them up
     organisations: tuple[Count, ...]
+    known: Count  # daemons of the fleet, as the sender knows it
 
 
 class QuotaVote(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/hyssopproxy/engine/ledger.py
+++ b/hyssopproxy/engine/ledger.py
@@ -259,6 +259,9 @@
     unowned_since: dict[int, float] = attrs.field(factory=dict)
     retry_claim_at: dict[int, float] = attrs.field(factory=dict)
     fleet_size: int = 1  # daemons that a majority is counted of
+    knows_fleet: bool = False  # enough of the fleet has been heard of to count a majority
+    # Incarnation and heartbeat of each seed when it was first heard of.
+    seed_heartbeats: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     next_check_at: float = 0.0
     next_renewal_at: float = 0.0
     next_scan_at: float = 0.0
--- a/hyssopproxy/engine/membership.py
+++ b/hyssopproxy/engine/membership.py
@@ -100,7 +100,8 @@
 
 
 def _store_member(state: states.State, record: datagram.MemberRecord, now: float) -> None:
-    if record.ip not in state.members:
+    previous = state.members.get(record.ip)
+    if previous is None:
         if len(state.members) >= MAX_MEMBERS:
             state.counters["members_refused"] += 1
             return
@@ -115,6 +116,13 @@
         is_stale=record.is_stale,
         link_mbps=record.link_mbps,
         last_seen_at=now,
+        # A daemon of an older version relays records without it.
+        has_quota=record.has_quota
+        or (
+            previous is not None
+            and previous.has_quota
+            and previous.incarnation == record.incarnation
+        ),
     )
 
 
@@ -187,6 +195,7 @@
         revision=state.sync.revision if is_complete else 0,
         is_stale=not state.sync.is_current(SYNC_MAX_AGE_S, now),
         link_mbps=state.settings.link_mbps,
+        has_quota=True,
     )
     records = tuple(
         datagram.MemberRecord(
@@ -198,6 +207,7 @@
             member.revision,
             member.is_stale,
             member.link_mbps,
+            member.has_quota,
         )
         for member in _choose_records(state, count)
     )
--- a/hyssopproxy/engine/quota.py
+++ b/hyssopproxy/engine/quota.py
@@ -323,18 +323,22 @@
     settings = state.settings
     if now - state.started_at < settings.quota_window_s + WINDOW_MARGIN_S:
         return 0
-    if not state.members and any(seed.rpartition(":")[0] != settings.ip for seed in settings.seeds):
+    if not state.quota.knows_fleet:
         return 0
     amount = ledger.FALLBACK_PART * purse.limit.uncertain(
         settings.quota_window_s, settings.quota_overrun, settings.quota_slack
     )
-    size = max(state.quota.fleet_size, len(state.members) + 1)
+    known = tenure.count_fleet(state)
+    size = max(state.quota.fleet_size, known)
     if amount >= size:
         return int(amount / size)
     own_score = tenure.score(purse.organisation, settings.ip)
-    rank = sum(tenure.score(purse.organisation, ip) > own_score for ip in state.members)
-    # Members that this daemon doesn't know yet may come before it.
-    rank += max(0, size - len(state.members) - 1)
+    rank = sum(
+        tenure.score(purse.organisation, member.ip) > own_score
+        for member in state.members.values()
+        if member.has_quota
+    )
+    rank += size - known  # daemons that this one doesn't know may come before it
     return 1 if rank < int(amount) else 0
 
 
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -178,6 +178,7 @@
     is_stale: bool  # its copy of the published data may be out of date
     link_mbps: float  # bandwidth of the link of its VM
     last_seen_at: float  # when its latest heartbeat arrived, directly or relayed
+    has_quota: bool = False  # its version takes part in the quotas of organisations
 
 
 @attrs.define(eq=False)
--- a/hyssopproxy/engine/tenure.py
+++ b/hyssopproxy/engine/tenure.py
@@ -28,6 +28,9 @@
 SCAN_INTERVAL_S = 0.5  # between two looks for organisations without an owner
 SCANNED_PER_TICK = 20  # organisations; each is ranked over all members
 RANK_DELAY_S = 0.7  # a daemon claims later by this for each live one before it
+# Heartbeats of a seed that are heard before its contact counts: some 2 s while daemons start, in
+# which gossip reaches the whole fleet, and 4 s later.
+SEED_HEARTBEATS = 6
 ORGANISATIONS_PER_CLAIM = 100  # 9 bytes each; keeps a datagram under 1,400 bytes
 _MIX = 0x9E3779B97F4A7C15  # odd, from the golden ratio, as in Fibonacci hashing (Knuth)
 _MASK = 2**64 - 1
@@ -50,6 +53,15 @@
     return (mixed ^ mixed >> 29) * _MIX & _MASK
 
 
+def count_fleet(state: states.State) -> int:
+    """Return the number of known daemons that take part; those of older versions do not."""
+    return 1 + sum(member.has_quota for member in state.members.values())
+
+
+def _live_peers(state: states.State, now: float) -> list[states.Member]:
+    return [member for member in membership.live_members(state, now) if member.has_quota]
+
+
 def lease_s(fleet_size: int) -> float:
     """Return the length of an owner's lease."""
     return max(MIN_LEASE_S, LEASE_PER_DAEMON_S * fleet_size)
@@ -57,7 +69,7 @@
 
 def may_confirm(state: states.State, now: float) -> bool:
     """Return whether confirmations of an earlier process of this daemon have expired."""
-    size = max(state.quota.fleet_size, len(state.members) + 1)
+    size = max(state.quota.fleet_size, count_fleet(state))
     return now - state.started_at >= lease_s(size)
 
 
@@ -72,14 +84,14 @@
     if is_owner(state, organisation, now):
         return state.settings.ip
     vote = state.quota.votes.get(organisation)
-    if vote is None or vote.until <= now or vote.ip == state.settings.ip:
+    if vote is None or vote.ip == state.settings.ip or not _is_valid(state, vote, now):
         return None
     return vote.ip
 
 
 def find_first(state: states.State, organisation: int, now: float) -> str | None:
     """Return the first live daemon in the order of an organisation, other than this one."""
-    ips = [member.ip for member in membership.live_members(state, now)]
+    ips = [member.ip for member in _live_peers(state, now)]
     return max(ips, key=lambda ip: score(organisation, ip), default=None)
 
 
@@ -90,7 +102,10 @@
     claim = received.message
     if claim.ip == state.settings.ip:
         return
-    votes = state.quota.votes
+    book, votes = state.quota, state.quota.votes
+    if claim.known:
+        book.fleet_size = max(book.fleet_size, min(claim.known, membership.MAX_MEMBERS))
+        book.knows_fleet = True
     if claim.lease_ms == 0:
         for number in claim.organisations:
             vote = votes.get(number)
@@ -103,7 +118,7 @@
     for number in claim.organisations:
         if not _store_vote(state, number, claim, until, is_promise, now):
             refused.append(number)
-    known = max(state.quota.fleet_size, len(state.members) + 1)
+    known = max(book.fleet_size, count_fleet(state))
     vote = datagram.QuotaVote(state.settings.ip, claim.claim_no, known, tuple(refused))
     out.append(effect.SendPeer(claim.ip, vote))
 
@@ -112,6 +127,15 @@
     return vote.ip == claim.ip and vote.incarnation == claim.incarnation
 
 
+def _is_valid(state: states.State, vote: ledger.Vote, now: float) -> bool:
+    """Return whether the daemon that was confirmed may still be the owner.
+
+    It isn't if another process has its address by now.
+    """
+    member = state.members.get(vote.ip)
+    return vote.until > now and (member is None or member.incarnation <= vote.incarnation)
+
+
 def _store_vote(
     state: states.State,
     organisation: int,
@@ -123,7 +147,7 @@
     """Record the claimant as the owner unless another one is; return whether it is confirmed."""
     votes = state.quota.votes
     vote = votes.get(organisation)
-    if vote is not None and vote.until > now:
+    if vote is not None and _is_valid(state, vote, now):
         # A newer process on the same VM replaces the earlier one, which has ended.
         if vote.ip != claim.ip or vote.incarnation > claim.incarnation:
             if vote.is_promise or not is_promise:
@@ -236,43 +260,59 @@
     A side of a partition that has forgotten the others would otherwise take itself for the fleet.
     """
     book = state.quota
-    known = len(state.members) + 1
-    live = len(membership.live_members(state, now)) + 1
+    book.knows_fleet = book.knows_fleet or _has_heard_seeds(state)
+    known = count_fleet(state)
+    live = len(_live_peers(state, now)) + 1
     if live > book.fleet_size // 2:
         book.fleet_size = known
     else:
         book.fleet_size = max(book.fleet_size, known)
 
 
+def _has_heard_seeds(state: states.State) -> bool:
+    """Return whether this daemon has been in contact with most seeds for some time.
+
+    After a start of the whole fleet in a partition, no more than one side has most seeds; each
+    side would otherwise take itself for the fleet. The time is needed to hear of the others.
+    """
+    first, settings = state.quota.seed_heartbeats, state.settings
+    seeds = {seed.rpartition(":")[0] for seed in settings.seeds}
+    heard = not seeds or settings.ip in seeds
+    for ip in seeds - {settings.ip}:
+        member = state.members.get(ip)
+        if member is None:
+            continue
+        if ip not in first or first[ip][0] != member.incarnation:
+            first[ip] = member.incarnation, member.heartbeat
+        heard += member.heartbeat - first[ip][1] >= SEED_HEARTBEATS
+    return 2 * heard > len(seeds)
+
+
 def _may_claim(state: states.State, now: float) -> bool:
     if state.stopping_since is not None or not may_confirm(state, now):
         return False
-    if not state.members and any(
-        seed.rpartition(":")[0] != state.settings.ip for seed in state.settings.seeds
-    ):
-        return False  # the fleet is unknown
-    return len(membership.live_members(state, now)) + 1 > state.quota.fleet_size // 2
+    return (
+        state.quota.knows_fleet and len(_live_peers(state, now)) + 1 > state.quota.fleet_size // 2
+    )
 
 
 def _should_claim(state: states.State, number: int, now: float) -> bool:
     """Return whether an organisation has had no owner for as long as this daemon has to wait."""
     book = state.quota
     vote = book.votes.get(number)
-    if number in book.claims or (vote is not None and vote.until > now):
+    if number in book.claims or (vote is not None and _is_valid(state, vote, now)):
         book.unowned_since.pop(number, None)
         return False
     since = book.unowned_since.setdefault(number, now)
     own_score = score(number, state.settings.ip)
-    rank = sum(
-        score(number, member.ip) > own_score for member in membership.live_members(state, now)
-    )
+    rank = sum(score(number, member.ip) > own_score for member in _live_peers(state, now))
     return now >= max(since + RANK_DELAY_S * rank, book.retry_claim_at.get(number, 0.0))
 
 
 def _claim(state: states.State, numbers: list[int], now: float, out: list) -> None:
     """Send a claim to all members, and confirm it as far as this daemon is concerned."""
     book = state.quota
-    known = max(book.fleet_size, len(state.members) + 1)
+    known = max(book.fleet_size, count_fleet(state))
     length_s = lease_s(known)
     for first in range(0, len(numbers), ORGANISATIONS_PER_CLAIM):
         chunk = tuple(numbers[first : first + ORGANISATIONS_PER_CLAIM])
@@ -300,7 +340,7 @@
         if organisation in book.claims and book.claims[organisation].first_no <= number
     )
     message = datagram.QuotaClaim(
-        state.settings.ip, state.incarnation, number, lease_ms, organisations
+        state.settings.ip, state.incarnation, number, lease_ms, organisations, claim_round.known
     )
     for ip in state.members if organisations else ():
         if ip not in claim_round.voters:
@@ -349,6 +389,6 @@
     for first in range(0, len(failed), ORGANISATIONS_PER_CLAIM):
         chunk = tuple(failed[first : first + ORGANISATIONS_PER_CLAIM])
         message = datagram.QuotaClaim(
-            state.settings.ip, state.incarnation, state.next_number(), 0, chunk
+            state.settings.ip, state.incarnation, state.next_number(), 0, chunk, 0
         )
         out.extend(effect.SendPeer(ip, message) for ip in state.members)
--- a/tests/engine/test_quota.py
+++ b/tests/engine/test_quota.py
@@ -15,7 +15,7 @@
 def inject_fault(fleet, rng):
     """Apply a fault at random; daemons that were killed earlier may start again."""
     kind = rng.choice(
-        "loss duplicate delay one domain split heal freeze freeze_owner restart restart_owner "
+        "loss duplicate delay one each domain split heal freeze freeze_owner restart restart_owner "
         "kill_many kill_all forget".split()
     )
     ips, processes = fleet.ips, list(fleet.processes.values())
@@ -27,6 +27,9 @@
         fleet.long_delay = rng.choice((0.0, 0.1, 0.3))
     elif kind == "one":
         rng.choice(processes).side = rng.randrange(1, 1000)
+    elif kind == "each":
+        for index, process in enumerate(processes):
+            process.side = index
     elif kind == "domain":
         domain, side = rng.choice(fleet.domains), rng.randrange(1, 1000)
         for process in processes:
@@ -56,11 +59,11 @@
             del process.world.state.members[ip]
 
 
-def run_faults(seed, size, owner, seconds=60.0, **settings):
-    fleet = quota_fleet.QuotaFleet(size, [owner], seed=seed, **settings)
+def run_faults(seed, size, owner, slack, seconds=60.0):
+    fleet = quota_fleet.QuotaFleet(size, [owner], seed=seed, quota_slack=slack)
     rng = fleet.rng
-    demand = 6.0 * owner.rate_per_s + 2.0
-    fleet.run(rng.uniform(0.0, 12.0))
+    demand = 6.0 * owner.rate_per_s + 2.0 * size
+    fleet.run(rng.uniform(0.0, 25.0))
     end = fleet.now + seconds
     while fleet.now < end:
         inject_fault(fleet, rng)
@@ -73,9 +76,9 @@
 
 @pytest.mark.parametrize("owner", [ACME, TINY], ids=lambda owner: owner.name)
 @pytest.mark.parametrize("size", [3, 6, 21])
-@pytest.mark.parametrize("seed", range(4))
-def test_bound_holds_under_faults(seed, size, owner):
-    fleet = run_faults(seed, size, owner)
+@pytest.mark.parametrize(("seed", "slack"), [(1, 20.0), (2, 3.0), (3, 3.0), (4, 0.0)])
+def test_bound_holds_under_faults(seed, slack, size, owner):
+    fleet = run_faults(seed, size, owner, slack)
     assert fleet.most_in_window(owner.name) <= fleet.bound(owner)
 
 
