--- a/hyssopproxy/engine/ledger.py
+++ b/hyssopproxy/engine/ledger.py
@@ -190,6 +190,8 @@
     name: str
     limit: Limit
     used: int = 0  # requests admitted with credits, since the start of the process
+    alone: int = 0  # requests admitted without the owner
+    refused: int = 0
     granted: int = 0
     expires_at: float = 0.0
     is_reported: bool = True  # whether the owner knows `used` and needs to add no credits
--- a/hyssopproxy/engine/quota.py
+++ b/hyssopproxy/engine/quota.py
@@ -34,6 +34,8 @@
 # a later window. It is as long as a question waits, a frozen process gets older ones.
 MAX_ANSWER_AGE_S = 0.1
 MIN_RETRY_S = 0.1  # told to callers that are refused
+SHOWN_ORGANISATIONS = 20  # in metrics; the rest are added up
+REST = "other"  # the label of the rest; an organisation of that name is added to it
 WINDOW_MARGIN_S = 0.5  # requests may run later than they are admitted by about this
 
 
@@ -308,6 +310,7 @@
         purse.fallbacks.popleft()
     if len(purse.fallbacks) < fallback_share(state, purse, now):
         purse.fallbacks.append(now)
+        purse.alone += 1
         state.counters["quota_admitted_alone"] += 1
         return Decision.ADMITTED
     _refuse(state, purse, admission, "no_owner", UNREACHABLE_RETRY_S, now, out)
@@ -351,6 +354,7 @@
     now: float,
     out: list,
 ) -> None:
+    purse.refused += 1
     jitter = 1.0 + 0.5 * state.rng.random()
     details = {
         "organisation": purse.name,
@@ -426,3 +430,38 @@
         while purse.pending:
             arrived = _take_pending(state, purse).arrived
             answer.refuse_new(state, arrived, model.Refusal.STOPPING, now, out)
+
+
+def summarise(state: states.State, now: float) -> dict[str, dict[str, float]]:
+    """Return metrics by organisation, for those with the most requests and the rest as one."""
+    purses = sorted(
+        state.quota.purses.values(),
+        key=lambda purse: purse.used + purse.alone + purse.refused,
+        reverse=True,
+    )
+    metrics: dict[str, dict[str, float]] = {}
+    for index, purse in enumerate(purses):
+        label = purse.name if index < SHOWN_ORGANISATIONS else REST
+        for name, value in (
+            ("quota_admitted", purse.used),
+            ("quota_admitted_without_owner", purse.alone),
+            ("quota_refused", purse.refused),
+            ("quota_limit_per_s", purse.limit.rate_per_s),
+        ):
+            values = metrics.setdefault(name, {})
+            values[label] = values.get(label, 0) + value
+    owned = sorted(
+        (
+            (state.quota.organisations[number].name, account)
+            for number, account in state.quota.accounts.items()
+            if number in state.quota.organisations and tenure.is_owner(state, number, now)
+        ),
+        key=lambda pair: pair[1].limit.rate_per_s,
+        reverse=True,
+    )
+    for name, account in owned[:SHOWN_ORGANISATIONS]:
+        metrics.setdefault("quota_tokens", {})[name] = round(account.available(now), 2)
+        metrics.setdefault("quota_credits_out", {})[name] = account.outstanding
+    if owned:
+        metrics["quota_organisations_owned"] = {"all": len(owned)}
+    return metrics
--- a/hyssopproxy/metric.py
+++ b/hyssopproxy/metric.py
@@ -28,8 +28,13 @@
         self,
         counters: typing.Mapping[str, int],
         gauges: typing.Mapping[str, int | None] | None = None,
+        labelled: typing.Mapping[str, typing.Mapping[str, float]] | None = None,
+        label: str = "",
     ) -> str:
-        """Return all metrics in the Prometheus text format; leave out gauges without a value."""
+        """Return all metrics in the Prometheus text format; leave out gauges without a value.
+
+        `labelled` has gauges with a value for each value of `label`.
+        """
         lines = []
         for name in sorted(counters):
             lines.append(f"# TYPE hyssopproxy_{name}_total counter")
@@ -38,6 +43,11 @@
             if value is not None:
                 lines.append(f"# TYPE hyssopproxy_{name} gauge")
                 lines.append(f"hyssopproxy_{name} {value}")
+        for name, values in sorted((labelled or {}).items()):
+            lines.append(f"# TYPE hyssopproxy_{name} gauge")
+            for text, value in values.items():
+                quoted = text.replace("\\", "\\\\").replace('"', '\\"')
+                lines.append(f'hyssopproxy_{name}{{{label}="{quoted}"}} {value:g}')
         for name, histogram in sorted(self._histograms.items()):
             metric = f"hyssopproxy_{name}_seconds"
             lines.append(f"# TYPE {metric} summary")
--- a/hyssopproxy/platform/operator.py
+++ b/hyssopproxy/platform/operator.py
@@ -6,6 +6,7 @@
 
 from hyssopproxy import usage
 from hyssopproxy.engine import lifecycle
+from hyssopproxy.engine import quota
 from hyssopproxy.platform import runtime as runtimes
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import message
@@ -46,7 +47,10 @@
 
     def render(self) -> message.Response:
         gauges = attrs.asdict(usage.read())
-        body = self._runtime.metrics.render(self._collect_counters(), gauges).encode()
+        quotas = quota.summarise(self._runtime.state, clock.read())
+        body = self._runtime.metrics.render(
+            self._collect_counters(), gauges, quotas, "organisation"
+        ).encode()
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         return message.Response(200, headers, body)
 
