--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -52,7 +52,7 @@
     refusal = _find_refusal(state, query, now)
     if refusal is not None:
         opening_s = coverage.opening_s(state, query, now)
-        answer.refuse_new(state, arrived, refusal, now, out, opening_s)
+        answer.refuse_new(state, arrived, refusal, now, out, opening_s=opening_s)
         return
     admission = states.Admission(arrived, query)
     decision = quota.decide(state, admission, now, out)
@@ -65,7 +65,7 @@
     refusal = _find_refusal(state, admission.query, now)
     if refusal is not None:
         opening_s = coverage.opening_s(state, admission.query, now)
-        answer.refuse_new(state, admission.arrived, refusal, now, out, opening_s)
+        answer.refuse_new(state, admission.arrived, refusal, now, out, opening_s=opening_s)
         return
     _start(state, admission.query, now, out)
 
@@ -470,6 +470,7 @@
 
     Whether a target has executed it is unknown.
     """
+    quota.forget(state, failed.query_no)
     query = state.queries.get(failed.query_no)
     if query is not None:
         answer.remove_query(state, query)
--- /dev/null
+++ b/hyssopproxy/engine/tenure.py
@@ -0,0 +1,254 @@
+"""Which daemon owns an organisation's quota, derived from heartbeats alone.
+
+Handles partitions, frozen and restarted daemons without messages of its own: the owner is the first
+live daemon in an order by hash. It grants the full rate only after it has been the first, has seen
+most of the fleet and has not stood still for longer than any earlier owner may take to notice that
+it no longer is. Until then, and in a minority, daemons grant from the uncertain amount, of which
+the first places in the order of all known daemons, live or not, have a fixed part each; however the
+views of daemons differ, these parts never add up to more.
+"""
+
+import hashlib
+import heapq
+
+from hyssopproxy.engine import effect
+from hyssopproxy.engine import ledger
+from hyssopproxy.engine import membership
+from hyssopproxy.engine import state as states
+
+# Relayed heartbeats make a daemon look live for longer than `LIVE_MAX_AGE_S`, by a few rounds.
+RELAY_MARGIN_S = 3.0
+TAKEOVER_S = membership.LIVE_MAX_AGE_S + RELAY_MARGIN_S  # until an owner grants the full rate
+# An owner goes on this long after a daemon before it has appeared, which itself waits for longer.
+YIELD_S = TAKEOVER_S - RELAY_MARGIN_S
+MAX_PAUSE_S = 0.5  # time without a tick after which an owner begins anew
+MAX_FLEET_AGE_S = membership.MEMBER_EXPIRY_S  # the fleet counts as known after this long
+# Heartbeats of a seed that are heard before its contact counts: some 2 s while daemons start, in
+# which gossip reaches the whole fleet, and 4 s later.
+SEED_HEARTBEATS = 6
+PLACES = (
+    6  # that have a part of the uncertain amount; 55% of them down leaves none in 1 of 36 cases
+)
+CANDIDATES = 8  # daemons that are asked one after the other
+# A daemon that didn't answer is asked last for this long, doubled with each further silence; one
+# lost datagram should not cost an organisation its owner.
+MIN_SUSPECT_S = 0.125
+MAX_SUSPECT_S = 2.0
+CHECK_INTERVAL_S = 0.25  # between two looks at the fleet
+CHECK_AGE_S = 0.1  # how long an owner relies on its last look at its place
+SCORES_PER_TICK = 2000  # bounds the processor time for finding places, about 1 ms
+_MIX = 0x9E3779B97F4A7C15  # odd, from the golden ratio, as in Fibonacci hashing (Knuth)
+_MASK = 2**64 - 1
+_hashes: dict[str, int] = {}  # by IP address
+
+
+def _hash_member(ip: str) -> int:
+    number = _hashes.get(ip)
+    if number is None:
+        if len(_hashes) > membership.MAX_MEMBERS:
+            _hashes.clear()
+        digest = hashlib.blake2b(ip.encode(), digest_size=8).digest()
+        number = _hashes[ip] = int.from_bytes(digest, "big")
+    return number
+
+
+def score(organisation: int, ip: str) -> int:
+    """Return the rank value of a daemon for an organisation; the same at all daemons."""
+    mixed = (organisation ^ _hash_member(ip)) * _MIX & _MASK
+    return (mixed ^ mixed >> 29) * _MIX & _MASK
+
+
+def count_fleet(state: states.State) -> int:
+    """Return the number of known daemons that take part; those of older versions do not."""
+    return 1 + sum(member.has_quota for member in state.members.values())
+
+
+def _live_peers(state: states.State, now: float) -> list[states.Member]:
+    return [member for member in membership.live_members(state, now) if member.has_quota]
+
+
+def find_candidates(state: states.State, organisation: int, now: float) -> list[str]:
+    """Return the daemons that may grant requests, in the order in which to ask them."""
+    suspects = state.quota.suspects
+    ips = [member.ip for member in _live_peers(state, now)]
+    ips.append(state.settings.ip)
+    first = heapq.nlargest(CANDIDATES, ips, key=lambda ip: score(organisation, ip))
+    return sorted(first, key=lambda ip: suspects.get(ip, now) > now)
+
+
+def find_owner(state: states.State, organisation: int, now: float) -> str:
+    """Return the daemon that grants the full rate, as far as this one can tell."""
+    if is_owner(state, organisation, now):
+        return state.settings.ip
+    seniors = [
+        member.ip for member in _live_peers(state, now) if now - member.live_since >= YIELD_S
+    ]
+    return max(seniors, key=lambda ip: score(organisation, ip), default="")
+
+
+def is_owner(state: states.State, organisation: int, now: float) -> bool:
+    """Return whether this daemon may grant the full rate of an organisation."""
+    book = state.quota
+    account = book.accounts.get(organisation)
+    if account is None or now - book.tick_at > MAX_PAUSE_S:
+        return False
+    if now - account.checked_at > CHECK_AGE_S:
+        _check_place(state, organisation, now)
+        account = book.accounts.get(organisation)
+        if account is None:
+            return False
+    return now >= account.started_at
+
+
+def find_pool(state: states.State, organisation: int, amount: int, now: float) -> int:
+    """Return this daemon's part of an amount of requests in a window."""
+    book, settings = state.quota, state.settings
+    if not book.knows_fleet:
+        return 0
+    if now - state.started_at < settings.quota_window_s + ledger.WINDOW_MARGIN_S:
+        return 0  # an earlier process may have used it
+    own_score = score(organisation, settings.ip)
+    place = sum(
+        score(organisation, member.ip) > own_score
+        for member in state.members.values()
+        if member.has_quota
+    )
+    known = count_fleet(state)
+    place += max(0, book.fleet_size - known)  # unknown daemons may come before it
+    places = min(PLACES, max(known, book.fleet_size), amount)
+    if place >= places:
+        return 0
+    return amount // places + (place < amount % places)
+
+
+def handle_tick(state: states.State, now: float, out: list) -> None:
+    """Follow changes of the fleet and of the configuration."""
+    book = state.quota
+    if now - book.tick_at > MAX_PAUSE_S:
+        book.accounts.clear()
+        book.majority_since = now
+    book.tick_at = now
+    _update_organisations(state)
+    if not book.organisations:
+        return
+    if now >= book.next_check_at:
+        book.next_check_at = now + CHECK_INTERVAL_S
+        _update_fleet(state, now)
+    if not book.scan:
+        book.scan = list(book.organisations)
+    count = min(len(book.scan), max(1, SCORES_PER_TICK // (len(state.members) + 1)))
+    for _ in range(count):
+        _check_place(state, book.scan.pop(), now, out)
+
+
+def _update_organisations(state: states.State) -> None:
+    """Take the quotas from a new routing table."""
+    book, table = state.quota, state.table
+    if table is None or table.version == book.version:
+        return
+    book.version = table.version
+    owners = {owner.name: owner for owner in table.key_owners.values() if owner.has_quota}
+    book.organisations = {ledger.identify(name): owner for name, owner in owners.items()}
+    book.scan = []
+    for number, account in list(book.accounts.items()):
+        owner = book.organisations.get(number)
+        if owner is None:
+            del book.accounts[number]
+        else:
+            limit = ledger.Limit(table.version, owner.rate_per_s, owner.burst)
+            account.set_limit(limit, max(account.level_at, book.tick_at))
+
+
+def _update_fleet(state: states.State, now: float) -> None:
+    """Update what a majority is counted of; it shrinks only while a majority is live.
+
+    A side of a partition that has forgotten the others would otherwise take itself for the fleet.
+    """
+    book = state.quota
+    book.knows_fleet = (
+        book.knows_fleet or _has_heard_seeds(state) or now - state.started_at >= MAX_FLEET_AGE_S
+    )
+    known = count_fleet(state)
+    has_majority = 2 * (len(_live_peers(state, now)) + 1) > max(book.fleet_size, known)
+    if has_majority:
+        book.fleet_size = known
+    else:
+        book.fleet_size = max(book.fleet_size, known)
+    if not has_majority or not book.knows_fleet:
+        book.majority_since = now
+        book.accounts.clear()
+    for ip in [ip for ip, until in book.suspects.items() if until <= now]:
+        del book.suspects[ip]
+    for ip in [ip for ip in book.silences if ip not in state.members]:
+        del book.silences[ip]
+
+
+def record_silence(state: states.State, ip: str, now: float) -> None:
+    """Record that a daemon did not answer in time."""
+    book = state.quota
+    book.silences[ip] += 1
+    book.suspects[ip] = now + min(MAX_SUSPECT_S, MIN_SUSPECT_S * 2 ** book.silences[ip])
+
+
+def record_answer(state: states.State, ip: str) -> None:
+    """Record that a daemon answered."""
+    state.quota.suspects.pop(ip, None)
+    state.quota.silences.pop(ip, None)
+
+
+def _has_heard_seeds(state: states.State) -> bool:
+    """Return whether this daemon has been in contact with most seeds for some time.
+
+    After a start of the whole fleet in a partition, no more than one side has most seeds; each
+    side would otherwise take itself for the fleet. The time is needed to hear of the others.
+    """
+    first, settings = state.quota.seed_heartbeats, state.settings
+    seeds = {seed.rpartition(":")[0] for seed in settings.seeds}
+    heard = not seeds or settings.ip in seeds
+    for ip in seeds - {settings.ip}:
+        member = state.members.get(ip)
+        if member is None:
+            continue
+        if ip not in first or first[ip][0] != member.incarnation:
+            first[ip] = member.incarnation, member.heartbeat
+        heard += member.heartbeat - first[ip][1] >= SEED_HEARTBEATS
+    return 2 * heard > len(seeds)
+
+
+def _check_place(
+    state: states.State, organisation: int, now: float, out: list | None = None
+) -> None:
+    """Open an account if this daemon is the first live one, close it once another has been."""
+    book, settings = state.quota, state.settings
+    if not book.knows_fleet or state.stopping_since is not None:
+        book.accounts.pop(organisation, None)
+        return
+    own_score = score(organisation, settings.ip)
+    before = [
+        member for member in _live_peers(state, now) if score(organisation, member.ip) > own_score
+    ]
+    account = book.accounts.get(organisation)
+    if account is not None:
+        account.checked_at = now
+        is_full = now >= account.started_at
+        if any(not is_full or now - member.live_since >= YIELD_S for member in before):
+            del book.accounts[organisation]
+            if out is not None:
+                fields = {"organisation": book.organisations[organisation].name}
+                out.append(effect.Log("quota_lost", {**fields, "owner": before[0].ip}))
+    elif not before:
+        owner = book.organisations[organisation]
+        limit = ledger.Limit(book.version, owner.rate_per_s, owner.burst)
+        started_at = max(now, book.majority_since) + TAKEOVER_S
+        book.accounts[organisation] = ledger.Account(
+            limit,
+            started_at,
+            settings.quota_window_s,
+            settings.quota_overrun,
+            settings.quota_slack,
+            checked_at=now,
+        )
+        state.counters["quota_owned"] += 1
+        if out is not None:
+            fields = {"organisation": owner.name, "daemons": book.fleet_size}
+            out.append(effect.Log("quota_owned", fields))
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -193,6 +193,8 @@
     datagram.Answers: events.AnswersReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
+    datagram.QuotaAsk: events.QuotaAskReceived,
+    datagram.QuotaAnswer: events.QuotaAnswerReceived,
 }
 
 _EXECUTORS: dict[type, typing.Callable] = {
