--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -48,18 +48,23 @@
     reason: Refusal,
     now: float,
     out: list,
+    *,
     opening_s: float = 0.0,
+    min_retry_s: float = 0.0,
+    details: dict | None = None,
 ) -> None:
     """Refuse a request before anything is sent to a target.
 
-    `opening_s` is the time until targets accept it, 0 if unknown.
+    `opening_s` is the time until targets accept it, 0 if unknown; `min_retry_s` is the earliest
+    time at which it may be admitted. `details` go into the log line.
     """
-    retry_after_s = _retry_after_s(state, now, opening_s)
+    retry_after_s = max(_retry_after_s(state, now, opening_s), min_retry_s)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
         "reason": reason.value,
         "version": state.table.version if state.table else 0,
+        **(details or {}),
     }
     if opening_s > 0.0:
         fields["opening_s"] = round(opening_s, 3)
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -23,6 +23,7 @@
     revision: Count  # newest revision of published data that it has applied
     is_stale: bool = False  # its copy of the published data may be out of date
     link_mbps: Number = 0.0  # bandwidth of the link of its VM
+    has_quota: bool = False  # its version takes part in the quotas of organisations
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -99,7 +100,47 @@
     targets: tuple[MisdirectedTarget, ...]
 
 
-Message = Gossip | Reports | LostDomains | Ping | Answers | Misdirected
+class QuotaItem(msgspec.Struct, frozen=True, array_like=True):
+    """Report and question of a daemon about one organisation; counts since its start."""
+
+    organisation: Count
+    used: Count  # requests admitted with credits
+    held: Count  # credits left
+    wanted: Count  # requests that wait for a credit
+    spare: Count  # credits that it would hold in advance
+    version: Count  # of the configuration that the limit is from
+    rate_per_s: Number
+    burst: Number
+
+
+class QuotaAsk(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Question for credits to the owner of some organisations."""
+
+    ip: Name  # of the sender
+    incarnation: Count
+    ask_no: Count  # increases; an answer is valid for the latest question alone
+    items: tuple[QuotaItem, ...]
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Answer about one organisation."""
+
+    organisation: Count
+    granted: Count  # requests that the daemon may admit, since its start
+    retry_ms: Count  # time until there is a token for the requests refused
+    owner: Name = ""  # set if the sender is not the owner: who may be, or "?"
+    pooled: Count = 0  # requests that it admits from the uncertain amount, not in `granted`
+
+
+class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Answer to a question for credits."""
+
+    ip: Name  # of the sender
+    ask_no: Count
+    items: tuple[QuotaGrant, ...]
+
+
+Message = Gossip | Reports | LostDomains | Ping | Answers | Misdirected | QuotaAsk | QuotaAnswer
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
@@ -121,4 +162,7 @@
     """Return the IP addresses that a message names; datagrams are sent to them."""
     if isinstance(message, Gossip):
         return [message.sender.ip, *(record.ip for record in message.records)]
-    return [message.ip] if isinstance(message, Ping) else []
+    if isinstance(message, QuotaAnswer):
+        owners = [item.owner for item in message.items if item.owner not in ("", "?")]
+        return [message.ip, *owners]
+    return [message.ip] if isinstance(message, Ping | QuotaAsk) else []
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -7,7 +7,9 @@
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import misdirection
+from hyssopproxy.engine import permit
 from hyssopproxy.engine import query
+from hyssopproxy.engine import quota
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
 from hyssopproxy.engine import speed
@@ -46,6 +48,9 @@
     event.MisdirectedReceived: misdirection.handle_reported,
     event.LostDomainsReceived: reach.handle_lost_domains,
     event.PingReceived: membership.handle_ping,
+    event.QuotaAskReceived: quota.handle_ask,
+    event.QuotaAnswerReceived: permit.handle_answer,
+    event.QuotaDue: permit.handle_due,
     event.SettingsChanged: lifecycle.handle_settings,
     event.Tick: lifecycle.handle_tick,
     event.StopRequested: lifecycle.handle_stop,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -10,6 +10,7 @@
 from hyssopproxy.engine import budget
 from hyssopproxy.engine import datagram
 from hyssopproxy.engine import event
+from hyssopproxy.engine import ledger
 from hyssopproxy.engine import model
 from hyssopproxy.engine import policy
 from hyssopproxy.engine import stall
@@ -193,6 +194,8 @@
     is_stale: bool  # its copy of the published data may be out of date
     link_mbps: float  # bandwidth of the link of its VM
     last_seen_at: float  # when its latest heartbeat arrived, directly or relayed
+    has_quota: bool = False  # its version takes part in the quotas of organisations
+    live_since: float = NEVER  # since when it has been live without interruption
 
 
 @attrs.define(eq=False)
@@ -273,6 +276,7 @@
     queries: dict[int, Query] = attrs.field(factory=dict)
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     waiting_queries: set[int] = attrs.field(factory=set)  # queries with parts to retry
+    quota: ledger.Book = attrs.field(factory=ledger.Book)
     sync: Sync = attrs.field(factory=Sync)
     members: dict[str, Member] = attrs.field(factory=dict)
     rank: int = 0  # number of members whose IP address sorts before this daemon's
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -194,6 +194,8 @@
     datagram.Misdirected: events.MisdirectedReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
+    datagram.QuotaAsk: events.QuotaAskReceived,
+    datagram.QuotaAnswer: events.QuotaAnswerReceived,
 }
 
 _EXECUTORS: dict[type, typing.Callable] = {
