Header lines cost a daemon what their bytes do, and one account covers all that callers hold

Cause: a read of 256 KB was parsed to its end before a limit was checked, a line of four bytes took some 140 once parsed, parsed heads and queued requests were in no account, and what was refused stayed in a reference cycle.

Change: reads are 16 KB, except of bodies with a stated length, and parsed in pieces of 1 KB, with the limits checked after each (transport/receiver.py). Beyond 64 lines a head is one bytes object. Requests ahead of unread responses are not handled. The account is charged with received, queued and handled requests and unread responses at their cost, for all addresses. Connections are bounded (transport/overflow.py), and resets are noticed while reading is paused.

--- a/hyssopproxy/limit.py
+++ b/hyssopproxy/limit.py
@@ -30,3 +30,7 @@
     response: ResponseLimits = ResponseLimits()  # of a target
     store: ResponseLimits = ResponseLimits(body_bytes=16 << 20)  # of the store or a peer
     total_bytes: int = 48 << 20  # of all connections together
+    header_lines: int = 0  # of a caller's request; 0: as many as `Limits.header_bytes` allows
+    # Connections of callers. A daemon has 0.4 to 2 requests a second, and so in a minute (the usual
+    # idle timeout) some 120 connections if each request opens one, and 900 at 7.5 times that load.
+    connections: int = 4096
--- a/hyssopproxy/platform/environment.py
+++ b/hyssopproxy/platform/environment.py
@@ -16,6 +16,8 @@
 BODY_VARIABLE = "HYSSOPPROXY_MAX_RESPONSE_BODY_BYTES"
 STORE_BODY_VARIABLE = "HYSSOPPROXY_MAX_STORE_BODY_BYTES"
 TOTAL_VARIABLE = "HYSSOPPROXY_MAX_BUFFERED_BYTES"
+LINES_VARIABLE = "HYSSOPPROXY_MAX_HEADER_LINES"
+CONNECTIONS_VARIABLE = "HYSSOPPROXY_MAX_CONNECTIONS"
 MAX_LIMIT = 1 << 40  # largest value of a limit
 
 
@@ -60,6 +62,8 @@
         response=limit.ResponseLimits(head_bytes, headers, body_bytes),
         store=limit.ResponseLimits(head_bytes, headers, store_bytes),
         total_bytes=_number(environ, TOTAL_VARIABLE, defaults.total_bytes, MAX_LIMIT, errors),
+        header_lines=_number(environ, LINES_VARIABLE, defaults.header_lines, MAX_LIMIT, errors),
+        connections=_number(environ, CONNECTIONS_VARIABLE, defaults.connections, MAX_LIMIT, errors),
     )
 
 
--- a/hyssopproxy/platform/ingress.py
+++ b/hyssopproxy/platform/ingress.py
@@ -10,6 +10,8 @@
 from hyssopproxy.platform import document
 from hyssopproxy.platform import header
 from hyssopproxy.platform import record
+from hyssopproxy.transport import clock
+from hyssopproxy.transport import journal
 from hyssopproxy.transport import message
 from hyssopproxy.transport import server
 
@@ -17,6 +19,7 @@
 _REPLACED_HEADERS = frozenset((header.DEADLINE, header.EXPECTED_INSTANCE))
 _KEY_HEADERS = frozenset((header.KEY, header.TENANT))
 MAX_MS_DIGITS = 12  # longer times are not plausible
+REJECTION_REPEAT_S = 1.0  # interval between lines about rejections with the same status
 _STATUS_BY_REFUSAL = {model.Refusal.DEADLINE_EXCEEDED: 504}
 
 
@@ -40,6 +43,7 @@
         self.requests: dict[int, ForwardedRequest] = {}
         self.closes_connections = False  # close each connection after its response
         self.requires_keys = False  # the configuration has organisations
+        self.log_rejections: typing.Callable[[int, str, float], None] | None = None
         self._query_nos: dict[server.Connection, int] = {}
         self._post = post
         self._next_number = next_number
@@ -85,6 +89,8 @@
     def record_rejection(self, status: int, reason: str) -> None:
         name = f"rejected_{status}"
         self.counters[name] = self.counters.get(name, 0) + 1
+        if self.log_rejections is not None:
+            self.log_rejections(status, reason, clock.read())
 
     def deliver(self, delivery: effect.Deliver) -> None:
         """Return a leaf's response to the caller, unchanged except for hop-by-hop headers."""
@@ -126,20 +132,38 @@
             forwarded.connection.reply(response, keep_alive=not self.closes_connections)
 
 
+class RejectionLog:
+    """Logs rejected requests, once per status in `REJECTION_REPEAT_S` with the number of others."""
+
+    def __init__(self, logger: journal.Logger) -> None:
+        self._logger = logger
+        self._logged_at: dict[int, float] = {}  # by status
+        self._repeats: dict[int, int] = {}
+
+    def write(self, status: int, reason: str, now: float) -> None:
+        """Log a rejection, or count it for the next line."""
+        if now - self._logged_at.get(status, float("-inf")) < REJECTION_REPEAT_S:
+            self._repeats[status] = self._repeats.get(status, 0) + 1
+            return
+        fields = {"status": status, "reason": reason, "repeats": self._repeats.pop(status, 0)}
+        self._logged_at[status] = now
+        self._logger.write("request_rejected", fields, now, is_urgent=True)
+
+
 def _make_forwarded_request(
     request: message.Request,
     request_id: bytes,
     connection: server.Connection,
     excluded: typing.Container[bytes],
 ) -> ForwardedRequest:
-    headers = message.end_to_end_headers(request.headers, excluded)
-    if request.body or request.method not in (b"GET", b"HEAD"):
-        headers.append((b"Content-Length", b"%d" % len(request.body)))
     head = request.method + b" " + request.target + b" HTTP/1.1\r\n"
+    head += message.encode_end_to_end(request.headers, excluded)
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        head += b"Content-Length: %d\r\n" % len(request.body)
     return ForwardedRequest(
         connection=connection,
         request_id=request_id,
-        head=head + message.encode_headers(headers),
+        head=head,
         body=request.body,
         is_head_request=request.method == b"HEAD",
     )
--- a/hyssopproxy/platform/operator.py
+++ b/hyssopproxy/platform/operator.py
@@ -57,6 +57,7 @@
             **state.counters,
             **runtime.ingress.counters,
             "buffers_dropped": runtime.account.drops,
+            "connections_refused": runtime.front.refused,
             "log_lines_suppressed": runtime.logger.suppressed,
             "log_lines_dropped": runtime.logger.dropped,
             "members": len(state.members) + 1,
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -22,6 +22,7 @@
 from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import journal
+from hyssopproxy.transport import overflow
 from hyssopproxy.transport import server
 
 
@@ -47,7 +48,10 @@
         )
         self.ingress = ingresses.Ingress(self.post, state.next_number)
         self.account = buffer.Account(limits.total_bytes)
-        self.front = server.Server(self.ingress, self.account)
+        self.ingress.max_header_lines = limits.header_lines
+        self.ingress.log_rejections = ingresses.RejectionLog(logger).write
+        max_connections = overflow.bound_by_descriptors(limits.connections)
+        self.front = server.Server(self.ingress, self.account, max_connections)
         self._store_client = store.StoreClient(self.post, self.cache, limits.store, self.account)
         self._leaf_client = leaf.LeafClient(self.post, limits.response, self.account)
         self._peer_transport: asyncio.DatagramTransport | None = None
--- a/hyssopproxy/platform/service.py
+++ b/hyssopproxy/platform/service.py
@@ -124,10 +124,14 @@
     runtime = runtimes.Runtime(state, logger, node.peer_port, settings.limits)
     servers = [
         (runtime.front, node.front.host, node.front.port),
-        (server.Server(operator.Readiness(runtime)), node.readiness.host, node.readiness.port),
+        (
+            server.Server(operator.Readiness(runtime), runtime.account),
+            node.readiness.host,
+            node.readiness.port,
+        ),
     ]
     if node.control is not None:
-        control = server.Server(runtime.cache_handler)
+        control = server.Server(runtime.cache_handler, runtime.account)
         servers.insert(0, (control, node.control.host, node.control.port))
     openers = [runtime.start]
     openers += [functools.partial(listener.start, host, port) for listener, host, port in servers]
@@ -138,7 +142,7 @@
         return 2
     if is_stopped:
         return 0
-    metrics = server.Server(operator.Metrics(runtime))
+    metrics = server.Server(operator.Metrics(runtime), runtime.account)
     open_metrics = functools.partial(metrics.start, node.engine.ip, settings.metrics_port)
     metrics_task = asyncio.create_task(_open_metrics(open_metrics, logger))
     logger.write("started", {"settings": path}, clock.read(), is_urgent=True)
--- a/hyssopproxy/transport/buffer.py
+++ b/hyssopproxy/transport/buffer.py
@@ -1,14 +1,17 @@
-"""Bounds the memory that incomplete messages occupy, over all connections of a process.
+"""Bounds the memory that a process holds for its connections, over all of them.
 
-Handles servers and callers that send without end: each connection has a limit of its own, but many
-connections below it could still exhaust the memory of a small VM. When the total is exceeded, the
-connection that holds the most is dropped, and the others are not affected.
+Counted are incomplete messages, and for callers also requests that are queued or being handled and
+responses that were not read yet. Handles servers and callers that send without end: each connection
+has a limit of its own, but many connections below it could still exhaust the memory of a small VM.
+When the total is exceeded, the connection that holds the most is dropped, and the others are not
+affected.
 """
 
 import abc
 
-# Connections that hold less are not tracked: the usual response is far smaller.
-MIN_TRACKED_BYTES = 16 << 10
+# Connections that hold less are not tracked: a usual request or response is smaller. 4,096 of them
+# (the default bound of connections) hold 16 MB.
+MIN_TRACKED_BYTES = 4 << 10
 
 
 class Holder(abc.ABC):
--- a/hyssopproxy/transport/message.py
+++ b/hyssopproxy/transport/message.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages and their encoding."""
 
+import itertools
 import typing
 
 import attrs
@@ -21,7 +22,8 @@
         b"upgrade",
     )
 )
-_FRAMING = frozenset((b"content-length",))
+_NOT_FORWARDED = HOP_BY_HOP | {b"content-length"}  # which the daemon writes itself
+_BLOCK_LINES = 64  # header lines that are held as pairs while a head of many is forwarded
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -41,14 +43,41 @@
 }
 
 
+class CompactHeaders:
+    """Many header lines in one bytes object; iterates over the pairs like a list of them."""
+
+    __slots__ = ("_lines",)
+
+    def __init__(self, lines: bytes) -> None:
+        self._lines = b"\r\n" + lines  # as `encode_headers` returns them
+
+    def __iter__(self) -> typing.Iterator[tuple[bytes, bytes]]:
+        lines = self._lines
+        start = 2
+        while start < len(lines):
+            name_end = lines.index(b": ", start)
+            end = lines.index(b"\r\n", name_end)
+            yield lines[start:name_end], lines[name_end + 2 : end]
+            start = end + 2
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None; `name` must be in lower case."""
+        position = self._lines.lower().find(b"\r\n" + name + b": ")
+        if position < 0:
+            return None
+        start = position + len(name) + 4
+        return self._lines[start : self._lines.index(b"\r\n", start)]
+
+
 @attrs.define(eq=False)
 class Request:
     """A complete request, with the case of header names as received."""
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: Headers | CompactHeaders
     body: bytes = b""
+    cost_bytes: int = 0  # memory that the request takes
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None; `name` must be in lower case."""
@@ -68,27 +97,60 @@
         return get_header(self.headers, name)
 
 
-def get_header(headers: Headers, name: bytes) -> bytes | None:
+def get_header(headers: Headers | CompactHeaders, name: bytes) -> bytes | None:
     """Return the first value of a header, or None; `name` must be in lower case."""
+    if type(headers) is CompactHeaders:
+        return headers.find(name)
     for key, value in headers:
         if key.lower() == name:
             return value
     return None
 
 
-def end_to_end_headers(headers: Headers, excluded: typing.Container[bytes] = ()) -> Headers:
+def end_to_end_headers(
+    headers: Headers | CompactHeaders, excluded: typing.Container[bytes] = ()
+) -> Headers:
     """Return the headers to forward, without hop-by-hop, framing and `excluded` ones."""
-    hop_by_hop = set()
+    return _select(headers, _find_hop_by_hop(headers), excluded)
+
+
+def encode_end_to_end(
+    headers: Headers | CompactHeaders, excluded: typing.Container[bytes] = ()
+) -> bytes:
+    """Encode the headers to forward; of many lines, only some are held as pairs at a time."""
+    if type(headers) is not CompactHeaders:
+        return encode_headers(end_to_end_headers(headers, excluded))
+    hop_by_hop = _find_hop_by_hop(headers)
+    pairs = iter(headers)
+    encoded = bytearray()
+    while block := list(itertools.islice(pairs, _BLOCK_LINES)):
+        encoded += encode_headers(_select(block, hop_by_hop, excluded))
+    return bytes(encoded)
+
+
+def _select(
+    headers: typing.Iterable[tuple[bytes, bytes]],
+    hop_by_hop: set[bytes],
+    excluded: typing.Container[bytes],
+) -> Headers:
+    return [
+        pair
+        for pair in headers
+        if (lower := pair[0].lower()) not in _NOT_FORWARDED
+        and lower not in hop_by_hop
+        and lower not in excluded
+    ]
+
+
+def _find_hop_by_hop(headers: Headers | CompactHeaders) -> set[bytes]:
+    """Return the names, in lower case, that `Connection` headers list."""
+    hop_by_hop: set[bytes] = set()
+    if type(headers) is CompactHeaders and headers.find(b"connection") is None:
+        return hop_by_hop
     for key, value in headers:
         if key.lower() == b"connection":
             hop_by_hop.update(part.strip().lower() for part in value.split(b","))
-    forwarded = []
-    for key, value in headers:
-        lower = key.lower()
-        if lower in HOP_BY_HOP or lower in _FRAMING or lower in hop_by_hop or lower in excluded:
-            continue
-        forwarded.append((key, value))
-    return forwarded
+    return hop_by_hop
 
 
 def encode_headers(headers: typing.Iterable[tuple[bytes, bytes]]) -> bytes:
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -2,18 +2,17 @@
 
 import abc
 import asyncio
-import collections
 import functools
-import select
 import socket
 import typing
 
-import httptools
-
 from hyssopproxy import limit
 from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
+from hyssopproxy.transport import inspection
 from hyssopproxy.transport import message
+from hyssopproxy.transport import overflow
+from hyssopproxy.transport import receiver
 
 TIMEOUT_CHECK_S = 0.25  # interval between checks of the connections' timeouts
 IDLE_GRACE_S = 0.5  # added to the idle timeout for requests that are in transit
@@ -21,12 +20,21 @@
 # Connections accepted per wake-up. asyncio schedules a retry for each failed accept, and so, while
 # no descriptor is free, more retries each second if it tries several times.
 ACCEPTS_AT_ONCE = 1
+# Connections of a server unless its owner says otherwise. The load balancer, the operators and the
+# 410 daemons of the largest fleet open one or two each.
+MAX_CONNECTIONS = 1024
 FIRST_REQUEST_S = 0.3  # time for the first request on a connection that was accepted while stopping
 DRAIN_CHECK_S = 0.01
 MAX_PIPELINED = 8  # requests buffered behind the one in progress before reading pauses
-MAX_PENDING_BODY_BYTES = 1 << 20  # body bytes buffered per connection before reading pauses
-MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
+MAX_PENDING_BYTES = 1 << 20  # memory of buffered requests per connection before reading pauses
+MAX_WRITE_BUFFER_BYTES = 16 << 10  # unread responses beyond which no further request is handled
 LINGER_S = 1.0  # time for the caller to read the last response before the connection is aborted
+# Bytes read at once, which bounds the time that one connection takes from the event loop per turn:
+# some 4,000 of the shortest header lines, 4 ms on the machine of docs/design/header-lines.md.
+READ_BYTES = 16 << 10
+# Shared by all connections, since the bytes are parsed or copied before another one reads.
+_READ_BUFFER = memoryview(bytearray(receiver.BODY_PIECE_BYTES))
+_SHORT_READ_BUFFER = _READ_BUFFER[:READ_BYTES]
 
 
 class Handler(abc.ABC):
@@ -34,6 +42,8 @@
 
     #: Current limits; checked for each request.
     limits = limit.Limits()
+    #: Most header lines of a request; 0: as many as `limits.header_bytes` allows.
+    max_header_lines = 0
 
     @abc.abstractmethod
     def handle(self, request: message.Request, connection: "Connection") -> None:
@@ -48,7 +58,7 @@
         return
 
 
-class Connection(asyncio.Protocol, buffer.Holder):
+class Connection(asyncio.BufferedProtocol, buffer.Holder, overflow.Candidate):
     """Server side of one caller's connection."""
 
     def __init__(
@@ -57,31 +67,25 @@
         self._handler = handler
         self._connections = connections
         self._account = account
-        self._parser = httptools.HttpRequestParser(self)
+        self._receiver = receiver.Receiver(handler.limits, handler.max_header_lines)
         self._transport: asyncio.Transport | None = None
-        self._pending: collections.deque[message.Request] = collections.deque()
-        self._current: message.Request | None = None
-        self._headers: message.Headers = []
-        self._target = b""
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._message_no = 0  # of the request that is being received
-        self._offers_upgrade = False  # the request that is being received
-        self._overhead_bytes = 0  # framing and trailers of the body
-        self._is_reading = False  # a request is partly received
-        self._has_headers = False
-        self._keep_alive = True
-        self._error: tuple[int, str] | None = None
+        self._current: bytes | None = None  # method of the request that is being handled
+        self._current_cost = 0  # memory of that request in bytes
+        self._has_sent_request = False
+        self._unparsed = b""  # received behind as many requests as are buffered
+        self._is_receiving = False
+        self._has_more_data = False  # of what is being parsed
+        self._is_handling = False
+        self._is_write_paused = False
         self._is_paused = False
         self._last_progress_at = 0.0
         self._abort_at: float | None = None
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(buffer.MIN_TRACKED_BYTES)
+        self._transport.set_write_buffer_limits(MAX_WRITE_BUFFER_BYTES)
         self._connections.add(self)
         self._last_progress_at = clock.read()
 
@@ -89,9 +93,8 @@
         self._connections.discard(self)
         self._account.release(self)
         self._transport = None
-        self._pending.clear()
-        # The connection is part of a reference cycle: the buffer would stay until a collection.
-        self._body_parts = []
+        self._receiver.drop()
+        self._unparsed = b""
         if self._current is not None:
             self._current = None
             self._handler.handle_disconnect(self)
@@ -99,176 +102,162 @@
     def eof_received(self) -> bool:
         return False
 
-    def data_received(self, data: bytes) -> None:
-        if self._error is not None or self._abort_at is not None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _READ_BUFFER if self._receiver.piece_bytes > READ_BYTES else _SHORT_READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(_READ_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parse what was received, up to a limit, and handle the requests that are complete."""
+        if self._receiver.error is not None or self._abort_at is not None:
             return
-        if not self._is_reading:
-            self._head_bytes = 0
-            if self._current is None:
-                self._last_progress_at = clock.read()
-        body_bytes = self._body_bytes
-        message_no = self._message_no if self._has_headers else None
-        if not self._has_headers:
-            self._head_bytes += len(data)
-        else:
-            self._last_progress_at = clock.read()
-        self._parse(data)
-        if not self._has_headers and self._head_bytes > self._handler.limits.header_bytes:
-            self._reject(431, "header fields too large")
-        if message_no == self._message_no:
-            self._overhead_bytes += len(data) - (self._body_bytes - body_bytes)
-        if self._is_reading and self._has_headers:
-            self._check_growth()
-        self._handle_next()
+        if self._unparsed:
+            self._unparsed += data
+            return
+        self._receive(data)
+
+    def _receive(self, data: bytes | memoryview) -> None:
+        """Parse bytes in pieces; what is too far ahead of the responses stays as it is."""
+        receiving = self._receiver
+        receiving.limits = self._handler.limits
+        now = clock.read()
+        size = len(data)
+        if size <= receiver.PIECE_BYTES and not self._is_ahead():  # as for a typical request
+            self._receive_piece(data, now)
+            self._end_receiving()
+            return
+        position = 0
+        self._is_receiving = True
+        try:
+            while position < size and receiving.error is None and self._transport is not None:
+                if self._is_ahead():
+                    self._unparsed = bytes(data[position:])
+                    break
+                end = position + receiving.piece_bytes
+                self._has_more_data = end < size
+                is_whole = not position and end >= size
+                self._receive_piece(data if is_whole else data[position:end], now)
+                position = end
+        finally:
+            self._is_receiving = self._has_more_data = False
+        self._end_receiving()
+
+    def _end_receiving(self) -> None:
+        self._update_account()
+        if self._receiver.requests or self._receiver.error is not None:
+            self._handle_next()
         self._pause_if_ahead()
 
-    def _parse(self, data: bytes) -> None:
-        """Parse bytes; a request that offers an upgrade is parsed again as an ordinary one.
+    def _receive_piece(self, piece: bytes | memoryview, now: float) -> None:
+        receiving = self._receiver
+        if receiving.has_headers or not receiving.is_reading and self._current is None:
+            self._last_progress_at = now
+        receiving.feed(piece)
+        if receiving.has_headers:
+            self._last_progress_at = now
+        if receiving.wants_continue and self._transport is not None:
+            receiving.wants_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if receiving.requests:
+            self._handle_next()
 
-        The parser stops at the end of a head with such an offer. A server may ignore the offer
-        (RFC 9110, 7.8); the request then has its body as usual.
-        """
-        while True:
-            try:
-                self._parser.feed_data(data)
-                return
-            except httptools.HttpParserUpgrade as upgrade:
-                if self._parser.get_method() == b"CONNECT":
-                    self._reject(501, "tunnels are not supported")
-                    return
-                head = self._encode_head_without_offer()
-                data = head + data[upgrade.args[0] :]
-                self._parser = httptools.HttpRequestParser(self)
-            except httptools.HttpParserError as error:
-                self._reject(400, str(error)[:80])
-                return
+    def _update_account(self) -> None:
+        """Charge what this connection holds; the account may drop it, or another one."""
+        if self._transport is None:
+            return
+        held_bytes = self._current_cost + self._transport.get_write_buffer_size()
+        if self._receiver.is_reading or self._receiver.requests or self._unparsed:
+            held_bytes += self.cost_bytes
+        self._account.update(self, held_bytes)
 
-    def _encode_head_without_offer(self) -> bytes:
-        headers = []
-        for name, value in self._headers:
-            if name.lower() == b"connection":
-                options = [option.strip() for option in value.split(b",")]
-                value = b", ".join(option for option in options if option.lower() != b"upgrade")
-            if name.lower() != b"upgrade":
-                headers.append((name, value))
-        version = self._parser.get_http_version().encode()
-        line = b"%s %s HTTP/%s\r\n" % (self._parser.get_method(), self._target, version)
-        return line + message.encode_headers(headers) + b"\r\n"
-
-    def _check_growth(self) -> None:
-        """Reject the incomplete request if its framing or trailers grow without end."""
-        max_overhead = self._handler.limits.header_bytes + MAX_OVERHEAD_FRACTION * self._body_bytes
-        if self._overhead_bytes > max_overhead:
-            self._reject(400, "framing or trailers too large")
-        else:
-            self._account.update(self, self._body_bytes)
+    def pause_writing(self) -> None:
+        self._is_write_paused = True
 
     def resume_writing(self) -> None:
-        self._account.release(self)
+        self._is_write_paused = False
+        self._update_account()
+        self._continue()
 
     def drop_buffer(self) -> None:
-        """Reject the incomplete request, or abort a caller that does not read its response."""
+        """Reject what is incomplete or queued, or abort if more is being handled or sent."""
         if self._transport is None:
             return
-        if self._transport.get_write_buffer_size() > buffer.MIN_TRACKED_BYTES:
+        sent_bytes = self._transport.get_write_buffer_size()
+        if self._current_cost + sent_bytes > self.cost_bytes:
             self._transport.abort()
-        else:
-            self._body_parts = []
-            self._reject(503, "too much data is buffered")
-            self._handle_next()
-
-    # httptools
-
-    def on_message_begin(self) -> None:
-        self._message_no += 1
-        self._is_reading = True
-        self._has_headers = False
-        self._headers = []
-        self._target = b""
-        self._body_parts = []
-        self._body_bytes = 0
-        self._overhead_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._has_headers:  # otherwise it is a trailer
-            self._headers.append((name, value.rstrip(b" \t")))  # the parser keeps trailing space
-
-    def on_headers_complete(self) -> None:
-        self._offers_upgrade = self._parser.should_upgrade()
-        if self._offers_upgrade:
-            return
-        self._has_headers = True
-        self._last_progress_at = clock.read()
-        size = len(self._target) + sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if size > self._handler.limits.header_bytes:
-            self._reject(431, "header fields too large")
-        expected = message.get_header(self._headers, b"expect")
-        if expected is not None and expected.lower() == b"100-continue" and self._transport:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        length = message.get_header(self._headers, b"content-length")
-        if length is not None and int(length) > self._handler.limits.body_bytes:
-            self._reject(413, "body too large")
-
-    def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > self._handler.limits.body_bytes:
-            self._reject(413, "body too large")
-        elif self._error is None:
-            self._body_parts.append(body)
-
-    def on_message_complete(self) -> None:
-        if self._offers_upgrade:
-            return
-        self._is_reading = False
-        self._has_headers = False
-        self._head_bytes = 0
-        self._account.release(self)
-        if self._error is not None:
             return
-        if not self._parser.should_keep_alive():
-            self._keep_alive = False
-        request = message.Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=self._headers,
-            body=b"".join(self._body_parts),
-        )
-        self._pending.append(request)
+        self._receiver.reject(503, "too much data is buffered")
+        self._receiver.drop()
+        self._unparsed = b""
+        self._handle_next()
 
     # requests and responses
 
     def _handle_next(self) -> None:
-        if self._current is not None or self._transport is None:
+        """Handle complete requests, one at a time, unless the caller does not read."""
+        if self._is_handling:
             return
-        if self._pending:
-            self._current = self._pending.popleft()
-            self._handler.handle(self._current, self)
-        elif self._error is not None:
-            status, reason = self._error
-            self._handler.record_rejection(status, reason)
-            response = message.Response(status, [], reason.encode())
-            self._transport.write(message.encode_response(response, keep_alive=False))
-            self._half_close()
-
-    def _reject(self, status: int, reason: str) -> None:
-        if self._error is None:
-            self._error = (status, reason)
+        receiving = self._receiver
+        self._is_handling = True
+        try:
+            while (
+                receiving.requests
+                and self._current is None
+                and self._transport is not None
+                and not self._is_write_paused
+            ):
+                request = receiving.take()
+                self._has_sent_request = True
+                self._current = request.method
+                self._current_cost = request.cost_bytes
+                self._handler.handle(request, self)
+        finally:
+            self._is_handling = False
+        if receiving.error is not None and not receiving.requests:
+            self._send_error()
+
+    def _send_error(self) -> None:
+        """Answer what was rejected, once, after the requests before it."""
+        if self._current is not None or self._transport is None or self._abort_at is not None:
+            return
+        status, reason = self._receiver.error
+        self._handler.record_rejection(status, reason)
+        response = message.Response(status, [], reason.encode())
+        self._transport.write(message.encode_response(response, keep_alive=False))
+        self._half_close()
+
+    def _is_ahead(self) -> bool:
+        """Return whether the caller has sent too far ahead of its responses."""
+        if self._current is None and not self._is_write_paused:
+            return False  # nothing would resume reading
+        receiving = self._receiver
+        return (
+            len(receiving.requests) > MAX_PIPELINED
+            or receiving.requests_cost + receiving.body_bytes > MAX_PENDING_BYTES
+        )
 
     def _pause_if_ahead(self) -> None:
-        """Pause reading from a caller that sends too far ahead of its responses."""
-        if self._transport is None:
-            return
-        if self._current is None:  # nothing would resume reading
+        if self._transport is None or self._is_paused:
             return
-        pending_bytes = sum(len(request.body) for request in self._pending) + self._body_bytes
-        is_ahead = len(self._pending) > MAX_PIPELINED or pending_bytes > MAX_PENDING_BODY_BYTES
-        if is_ahead and not self._is_paused:
+        if self._unparsed or self._is_ahead():
             self._is_paused = True
             self._transport.pause_reading()
 
+    def _continue(self) -> None:
+        """Handle the next request, and parse and read on."""
+        self._handle_next()
+        if self._is_receiving or self._transport is None or self._is_ahead():
+            return
+        if self._unparsed:
+            data, self._unparsed = self._unparsed, b""
+            self._receive(data)
+            if self._unparsed or self._transport is None:
+                return
+        if self._is_paused and not self._is_ahead():
+            self._is_paused = False
+            self._transport.resume_reading()
+
     def reply(self, response: message.Response, keep_alive: bool = True) -> None:
         """Send the response to the request in progress.
 
@@ -276,21 +265,23 @@
         """
         if self._transport is None or self._current is None:
             return
-        has_body = self._current.method != b"HEAD"
+        has_body = self._current != b"HEAD"
+        receiving = self._receiver
+        has_more = bool(receiving.requests or self._unparsed or self._has_more_data)
         keep_alive = (
-            bool(self._pending) or self._keep_alive and (keep_alive or self._has_unread_input())
+            has_more
+            or receiving.keep_alive
+            and (keep_alive or inspection.has_unread_input(self._transport))
         )
         self._current = None
+        self._current_cost = 0
         self._last_progress_at = clock.read()
         self._transport.write(message.encode_response(response, keep_alive, has_body))
-        self._account.update(self, self._transport.get_write_buffer_size())
-        if not keep_alive and self._error is None:
+        self._update_account()
+        if not keep_alive and receiving.error is None:
             self._half_close()
-            return
-        if self._is_paused:
-            self._is_paused = False
-            self._transport.resume_reading()
-        self._handle_next()
+        elif not self._is_handling:
+            self._continue()
 
     @property
     def is_busy(self) -> bool:
@@ -299,7 +290,7 @@
             return False
         return (
             self._current is not None
-            or self._is_reading
+            or self._receiver.is_reading
             or self._abort_at is not None
             or self._transport.get_write_buffer_size() > 0
         )
@@ -309,25 +300,42 @@
         """Whether all responses have been sent and only the caller's close is awaited."""
         return self._abort_at is not None and self._transport.get_write_buffer_size() == 0
 
+    @property
+    def cost_bytes(self) -> int:
+        return self._receiver.held_bytes + len(self._unparsed)
+
+    @property
+    def has_sent_request(self) -> bool:
+        return self._has_sent_request
+
+    def age_s(self, now: float) -> float:
+        return now - self._last_progress_at
+
+    def abort(self) -> None:
+        """Close the connection at once, whatever it holds."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close_if_idle(self, now: float) -> None:
         """Close the connection unless it is busy or its caller may be sending a request."""
-        is_new = self._message_no == 0 and now - self._last_progress_at < FIRST_REQUEST_S
-        if self._transport is None or self.is_busy or is_new or self._has_unread_input():
+        is_new = self._receiver.message_no == 0 and now - self._last_progress_at < FIRST_REQUEST_S
+        if (
+            self._transport is None
+            or self.is_busy
+            or is_new
+            or inspection.has_unread_input(self._transport)
+        ):
             return
         self._transport.close()
 
-    def _has_unread_input(self) -> bool:
-        """Return whether a request has arrived that the event loop has not read yet."""
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
-        return bool(poll.poll(0))
-
     def check_timeouts(self, now: float) -> None:
         """Abort, reject or close the connection if its timeout has expired."""
         if self._transport is None:
             return
         limits = self._handler.limits
-        age = now - self._last_progress_at
+        age = self.age_s(now)
+        if self._is_paused and inspection.is_reset(self._transport):
+            self._transport.abort()
         if self._current is not None:
             return
         if self._transport.get_write_buffer_size():
@@ -338,9 +346,10 @@
         elif self._abort_at is not None:
             if now > self._abort_at:
                 self._transport.abort()
-        elif self._is_reading or self._head_bytes:
+        elif self._receiver.is_reading or self._receiver.head_bytes:
             if age > limits.header_timeout_s:
-                self._reject(408, "request not complete in time")
+                self._receiver.reject(408, "request not complete in time")
+                self._receiver.drop()
                 self._handle_next()
         elif age > limits.idle_timeout_s + IDLE_GRACE_S:
             self._transport.close()
@@ -358,8 +367,15 @@
 class Server:
     """A listening socket and its connections."""
 
-    def __init__(self, handler: Handler, account: buffer.Account | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        account: buffer.Account | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         self.connections: set[Connection] = set()
+        self.refused = 0  # connections that were closed because there were too many
+        self._max_connections = max_connections
         self._handler = handler
         self._account = account or buffer.Account(limit.BufferLimits().total_bytes)
         self._listener: socket.socket | None = None
@@ -389,7 +405,15 @@
         """Port on which the server listens; requires `start`."""
         return self._listener.getsockname()[1]
 
-    def _make_connection(self) -> Connection:
+    def _make_connection(self) -> asyncio.BaseProtocol:
+        if len(self.connections) >= self._max_connections:
+            self.refused += 1
+            header_timeout_s = self._handler.limits.header_timeout_s
+            victim = overflow.choose_victim(self.connections, clock.read(), header_timeout_s)
+            if victim is None:
+                return overflow.RefusedConnection()
+            victim.abort()
+            self.connections.discard(victim)
         return Connection(self._handler, self.connections, self._account)
 
     def _check_timeouts(self) -> None:
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import threading
 import time
 
@@ -371,3 +372,66 @@
         writer.close()
 
     run_with_server(scenario)
+
+
+def test_connections_are_bounded_and_those_in_use_stay():
+    """Guards against callers that take all descriptors with connections that send nothing."""
+
+    async def scenario(handler, server, port):
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        server._max_connections = 4
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request)
+        assert b" 200 " in await reader.readline()
+        others = [await asyncio.open_connection("127.0.0.1", port) for _ in range(8)]
+        while server.refused < 5:
+            await asyncio.sleep(0.01)
+        assert len(server.connections) <= 4
+        writer.write(request)
+        await reader.readuntil(b"\r\n\r\n")
+        assert b" 200 " in await reader.readline()
+        for _, other in [(reader, writer), *others]:
+            other.close()
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=100 * WAIT_S))
+
+
+def test_reset_is_noticed_while_reading_is_paused():
+    """Guards against descriptors and requests that stay after their callers have left."""
+
+    async def scenario(handler, server, port):
+        connections = []
+        handler.handle = lambda request, connection: connections.append(connection)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 10_000)
+        while not connections:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        linger = struct.pack("ii", 1, 0)  # closing resets the connection
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+        while server.connections:
+            await asyncio.sleep(0.01)
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=100 * WAIT_S))
+
+
+def test_unread_responses_stop_further_requests():
+    """Guards against responses that pile up for a caller that sends on and does not read."""
+
+    async def scenario(handler, server, port):
+        handler.response_bytes = 1 << 20
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        count = 40
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * count)
+        while not handler.requests:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+        assert len(handler.requests) < count / 2
+        received = 0
+        while received < count * handler.response_bytes:
+            received += len(await reader.read(1 << 20))
+        assert len(handler.requests) == count
+        writer.close()
+
+    run_with_server(scenario, limits=limit.Limits(idle_timeout_s=100 * WAIT_S))
