hyssopproxyd keeps only the header lines that it uses, and parses few requests ahead

Cause: uvicorn keeps every header line as a pair, parses a read of 256 KB to its end, and holds a task's objects for each pipelined request in it.

Change: lines that no code reads are dropped as they are parsed; reads are 16 KB, parsed in pieces of 512 bytes and not beyond 8 requests ahead of the responses; connections are bounded (4096).

Measured: tests/processes/test_header_lines.py took 54 to 1,830 MB above rest in 12 of its 18 tests; at most 13 MB now, all pass. The bare protocol with eight header lines takes 45 to 47 us a request (41 to 43 us before; least of 5 runs of 20).

--- a/hyssopproxy/server.py
+++ b/hyssopproxy/server.py
@@ -12,6 +12,7 @@
 import starlette.responses
 import starlette.routing
 import uvicorn
+import uvicorn.protocols.http.flow_control
 import uvicorn.protocols.http.httptools_impl
 
 from hyssopproxy import body as bodies
@@ -25,10 +26,30 @@
 DEFAULT_MAX_BODY_BYTES = 1 << 16  # limit for requests to an unknown service
 MAX_OVERHEAD_BYTES = 32 << 10  # head, framing and trailers of a request
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
+# Header lines that are read below or by the HTTP libraries; of each, the first counts.
+USED_HEADERS = frozenset(
+    (
+        b"content-length",
+        b"expect",
+        b"host",
+        b"idempotency-key",
+        b"request-id",
+        b"request-timeout-ms",
+    )
+)
+READ_BYTES = 16 << 10  # read at once, which bounds the time that parsing takes per turn
+# Bytes parsed between two checks of the limits: some 20 of the shortest requests, each of which
+# takes some 3 KB once it is parsed.
+PIECE_BYTES = 512
+BODY_PIECE_BYTES = 2 << 10
+MAX_PIPELINED = 8  # requests parsed behind the one in progress
+MAX_AHEAD_BYTES = uvicorn.protocols.http.flow_control.HIGH_WATER_LIMIT  # of a body not read yet
+MAX_CONNECTIONS = 4096  # of callers, and of operators
 MAX_REQUEST_ID_CHARS = 200
 STOP_TIMEOUT_S = 30
 FIRST_REQUEST_S = 0.3  # time for the first request on a connection that was accepted while stopping
 Kind = problem.Kind
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))  # shared: what it holds is copied at once
 
 
 class Endpoints:
@@ -157,34 +178,115 @@
     return request_id if 0 < len(request_id) <= MAX_REQUEST_ID_CHARS else uuid.uuid4().hex
 
 
-class BoundedProtocol(uvicorn.protocols.http.httptools_impl.HttpToolsProtocol):
+class _Flow(uvicorn.protocols.http.flow_control.FlowControl):
+    """Flow control of a connection that reads on only when its caller is not too far ahead."""
+
+    def __init__(self, transport: asyncio.Transport, protocol: "BoundedProtocol") -> None:
+        super().__init__(transport)
+        self._protocol = protocol
+
+    def resume_reading(self) -> None:
+        if not self._protocol.is_ahead():
+            super().resume_reading()
+            self._protocol.parse_soon()
+
+
+class BoundedProtocol(
+    uvicorn.protocols.http.httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol
+):
     """Connection of a caller; closes it if a head, framing or trailers grow without end.
 
-    The body is bounded where it is read.
+    Handles callers that send very many short header lines or requests: of the header lines only
+    those that are used are kept, and few requests are parsed ahead of the responses. The body is
+    bounded where it is read.
     """
 
     def __init__(self, *args: typing.Any, **fields: typing.Any) -> None:
         super().__init__(*args, **fields)
         self._is_receiving = False
+        self._has_headers = False
         self._overhead_bytes = 0
         self._body_bytes = 0
+        self._unparsed = b""
+        self._kept: set[bytes] = set()  # names of the header lines of this request that are kept
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        self.flow = _Flow(transport, self)
+        if len(self.connections) > MAX_CONNECTIONS:
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._unparsed = b""
+        self.pipeline.clear()
+        super().connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        if self.transport.is_closing():
+        is_usual = len(data) <= PIECE_BYTES and not self._unparsed
+        if is_usual and not self.transport.is_closing() and not self.is_ahead():
+            self._parse_piece(data)
             return
+        self._unparsed += data
+        self._parse()
+
+    def is_ahead(self) -> bool:
+        """Return whether the caller has sent too far ahead of its responses."""
+        if len(self.pipeline) >= MAX_PIPELINED:
+            return True
+        cycle = self.cycle
+        return (
+            cycle is not None and not cycle.response_complete and len(cycle.body) > MAX_AHEAD_BYTES
+        )
+
+    def parse_soon(self) -> None:
+        """Go on with what was received and not parsed yet."""
+        if self._unparsed:
+            self.loop.call_soon(self._parse)
+
+    def _parse(self) -> None:
+        """Parse in pieces, until the caller is too far ahead or its request is refused."""
+        while self._unparsed and not self.is_ahead():
+            if self.transport.is_closing():
+                self._unparsed = b""
+                return
+            size = BODY_PIECE_BYTES if self._has_headers else PIECE_BYTES
+            piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._parse_piece(piece)
+        if self._unparsed:
+            self.flow.pause_reading()
+
+    def _parse_piece(self, piece: bytes) -> None:
         body_bytes = self._body_bytes
-        super().data_received(data)
+        super().data_received(piece)
         if not self._is_receiving or self.transport.is_closing():
             return
-        self._overhead_bytes += max(0, len(data) - (self._body_bytes - body_bytes))
+        self._overhead_bytes += max(0, len(piece) - (self._body_bytes - body_bytes))
         if self._overhead_bytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_FRACTION * self._body_bytes:
             self.send_400_response("Head or framing too large.")
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self._is_receiving = True
+        self._has_headers = False
         self._overhead_bytes = 0
         self._body_bytes = 0
+        self._kept = set()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        lower = name.lower()
+        if lower in USED_HEADERS and lower not in self._kept and not self._has_headers:
+            self._kept.add(lower)
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        self._has_headers = True
+        super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         super().on_body(body)
@@ -193,6 +295,12 @@
     def on_message_complete(self) -> None:
         super().on_message_complete()
         self._is_receiving = False
+        self._has_headers = False
+
+    def on_response_complete(self) -> None:
+        super().on_response_complete()
+        if not self.transport.is_closing():
+            self.flow.resume_reading()
 
 
 class Server(uvicorn.Server):
