Emulated servers answer with short header lines and trailers without end

The limits of responses hold for them: tests of targets, the store and the own interface's targets run with both new kinds, and pass on the limits as they were (64 tests).

--- a/hyssopproxy/emulator/endless.py
+++ b/hyssopproxy/emulator/endless.py
@@ -11,6 +11,7 @@
 RESPONSES = {
     "endless_head": (_OK + b"%bX-Filler: ", _BLOCK),
     "endless_headers": (_OK + b"%b", _LINES),
+    "endless_short_headers": (_OK + b"%b", b"a:\r\n" * 4000),
     "endless_informational": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
     "endless_garbage": (b"", b"\x00" * 65536),
     "endless_body": (_OK + b"%b\r\n", _BLOCK),
@@ -19,6 +20,7 @@
     "endless_small_chunks": (_CHUNKED, b"1\r\nx\r\n" * 10000),
     "endless_extension": (_CHUNKED + b"1;x=", _BLOCK),
     "endless_trailers": (_CHUNKED + b"1\r\nx\r\n0\r\n", _LINES),
+    "endless_short_trailers": (_CHUNKED + b"1\r\nx\r\n0\r\n", b"a:\r\n" * 4000),
     "endless_trailer": (_CHUNKED + b"1\r\nx\r\n0\r\nX-Filler: ", _BLOCK),
 }
 #: By name: complete responses to no request, repeated without end.
