Log lines tell which shards are scarce and why

A search that is refused since too few shards can answer had a line without the shards. The daemon now logs when all targets of a shard are known to be slow, silent or out of service, with what it knows of each, and when one recovers.

--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -16,6 +16,7 @@
 from hyssopproxy.engine import query
 from hyssopproxy.engine import reach
 from hyssopproxy.engine import report
+from hyssopproxy.engine import scarcity
 from hyssopproxy.engine import speed
 from hyssopproxy.engine import state as states
 from hyssopproxy.engine import sync
@@ -116,6 +117,7 @@
     query.record_overdue_attempts,
     report.handle_tick,
     speed.handle_tick,
+    scarcity.handle_tick,
     misdirection.handle_tick,
     reach.handle_tick,
     query.retry_waiting_parts,
--- a/hyssopproxy/engine/scarcity.py
+++ b/hyssopproxy/engine/scarcity.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from hyssopproxy.engine import effect
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import model
@@ -25,6 +26,7 @@
 # A search that would be refused is a probe only if none that may miss the shard has been for this
 # time: it goes to all shards in vain. Daemons receive 0.4 to 2 searches per second.
 REFUSED_PROBE_DELAY_S = 1.0
+CHECK_INTERVAL_S = 0.25  # time between two checks for the log; less than the failures that matter
 SCARCE = "scarce"
 NO_FASTER_TARGET = "no_faster_target"
 
@@ -152,3 +154,28 @@
         part.reason = NO_FASTER_TARGET
         state.counters["hedges_useless"] += 1
     return False
+
+
+def handle_tick(state: states.State, now: float, out: list) -> None:
+    """Log which shards have become scarce and which no longer are, with what is known of each."""
+    if now - state.scarce_checked_at < CHECK_INTERVAL_S or state.table is None:
+        return
+    state.scarce_checked_at = now
+    shards = {pool for route in state.table.routes for pool in route.shards}
+    scarce = {pool for pool in shards if _shard_s(state, pool, 1.0, now) > 0.0}
+    for pool in sorted(scarce - state.scarce_pools):
+        targets = state.pools.get(pool, {}).values()
+        known = {target.id: _describe_target(state, target, now) for target in targets}
+        fields = {"shard": pool, "targets": known}
+        out.append(effect.Log("shard_scarce", fields, is_urgent=True))
+    for pool in sorted(state.scarce_pools - scarce):
+        out.append(effect.Log("shard_recovered", {"shard": pool}, is_urgent=True))
+    state.scarce_pools = scarce
+
+
+def _describe_target(state: states.State, target: states.Target, now: float) -> dict:
+    return {
+        "usable": placement.is_usable(state, target, now),
+        "ratio": round(speed.ratio(target, health.slowness(target, now), now), 1),
+        "silent_s": round(speed.silence_s(target, now), 2),
+    }
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -241,6 +241,8 @@
     # By target id, time and ratio of an answer that shows a recovery, until it is reported.
     pending_answers: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     answers_sent_at: float = NEVER
+    scarce_pools: set[str] = attrs.field(factory=set)  # as logged last
+    scarce_checked_at: float = NEVER
     probe_at: dict[str, float] = attrs.field(factory=dict)  # pool -> next probe while scarce
     pending_misdirected: list[Target] = attrs.field(factory=list)  # until they are reported
     misdirected_sent_at: float = NEVER
--- a/tests/engine/test_scarcity.py
+++ b/tests/engine/test_scarcity.py
@@ -133,6 +133,26 @@
     assert not any(map(is_send, world.effects))
 
 
+def test_log_tells_which_shards_are_scarce_and_why():
+    """The line of a refused search names no shards; these lines before it do."""
+    world = make_world(least_coverage=0.95)
+    silence(world, 3)
+    world.run(0.3)
+    line = find_line(world, "shard_scarce")
+    assert line.fields["shard"] == "s3" and len(line.fields["targets"]) == 3
+    for known in line.fields["targets"].values():
+        assert known["usable"] and known["silent_s"] >= 4.0
+    for target in world.state.pools["s3"].values():
+        target.silent_since = target.slow_since = float("inf")
+    world.run(0.3)
+    assert find_line(world, "shard_recovered").fields == {"shard": "s3"}
+
+
+def find_line(world, name):
+    (line,) = [item for item in world.effects if isinstance(item, effect.Log) and item.name == name]
+    return line
+
+
 def test_search_is_a_probe_if_no_other_has_been_for_a_second():
     """Guards against refusing all searches for good, as none would notice the recovery."""
     world = make_world(least_coverage=0.95)
