Costly input of callers waits for a bounded share of each turn of the event loop

Cause: parsing and forwarding one read of short header lines takes up to 5 ms, so that a turn in which 150 callers send such lines takes most of a second, and ordinary callers wait for it.

Change: beyond 16 requests or 1,024 header lines at once, a connection waits in a queue (transport/lane.py) that is served for 5 ms a turn.

--- a/hyssopproxy/transport/receiver.py
+++ b/hyssopproxy/transport/receiver.py
@@ -24,6 +24,12 @@
 # `sys.getsizeof` states them on CPython 3.11, apart from the text.
 PAIR_COST_BYTES = 140
 REQUEST_COST_BYTES = 400  # of a request's objects, apart from its header lines and body
+# Bytes read at once, which bounds the time that one connection takes from the event loop per turn:
+# some 4,000 of the shortest header lines, or 5 ms with their forwarding.
+READ_BYTES = 16 << 10
+# Shared by all connections, since the bytes are parsed or copied before another one reads.
+READ_BUFFER = memoryview(bytearray(BODY_PIECE_BYTES))
+_SHORT_READ_BUFFER = READ_BUFFER[:READ_BYTES]
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
 
 
@@ -46,6 +52,7 @@
         self._headers: message.Headers = []
         self._lines = bytearray()  # earlier header lines of a head of many
         self._line_count = 0  # of `_lines`
+        self._blocks = 0  # of `LIST_LINES` header lines, of all heads
         self._line_bytes = 0  # of a complete head: its header lines, as they were sent at least
         self._target = b""
         self._body: bytes | bytearray = b""
@@ -65,6 +72,11 @@
         """Size of the incomplete body."""
         return self._body_bytes
 
+    @property
+    def effort(self) -> int:
+        """What was parsed so far, in typical requests; many header lines count as several."""
+        return self.message_no + self._blocks
+
     @property
     def piece_bytes(self) -> int:
         """How many bytes may be fed at once."""
@@ -72,6 +84,11 @@
             return min(self._body_left, BODY_PIECE_BYTES)
         return CHUNKS_PIECE_BYTES if self.has_headers else PIECE_BYTES
 
+    @property
+    def read_buffer(self) -> memoryview:
+        """Where the next bytes are read to."""
+        return READ_BUFFER if self._body_left > READ_BYTES else _SHORT_READ_BUFFER
+
     def feed(self, piece: bytes | memoryview) -> None:
         """Parse bytes; complete requests are added to `requests`."""
         if not self.is_reading:
@@ -187,6 +204,7 @@
             self._check_head()
             self._lines += message.encode_headers(headers)
             self._line_count += len(headers)
+            self._blocks += 1
             self._headers = []
 
     def _check_head(self) -> None:
--- a/hyssopproxy/transport/server.py
+++ b/hyssopproxy/transport/server.py
@@ -7,9 +7,11 @@
 import typing
 
 from hyssopproxy import limit
+from hyssopproxy.transport import backlog
 from hyssopproxy.transport import buffer
 from hyssopproxy.transport import clock
 from hyssopproxy.transport import inspection
+from hyssopproxy.transport import lane
 from hyssopproxy.transport import message
 from hyssopproxy.transport import overflow
 from hyssopproxy.transport import receiver
@@ -29,12 +31,9 @@
 MAX_PENDING_BYTES = 1 << 20  # memory of buffered requests per connection before reading pauses
 MAX_WRITE_BUFFER_BYTES = 16 << 10  # unread responses beyond which no further request is handled
 LINGER_S = 1.0  # time for the caller to read the last response before the connection is aborted
-# Bytes read at once, which bounds the time that one connection takes from the event loop per turn:
-# some 4,000 of the shortest header lines, 4 ms on the machine of docs/design/header-lines.md.
-READ_BYTES = 16 << 10
-# Shared by all connections, since the bytes are parsed or copied before another one reads.
-_READ_BUFFER = memoryview(bytearray(receiver.BODY_PIECE_BYTES))
-_SHORT_READ_BUFFER = _READ_BUFFER[:READ_BYTES]
+# Typical requests, or 64 header lines each, parsed at once; more waits in the lane. 1,024 of
+# the shortest lines take some 1.2 ms with their forwarding.
+MAX_EFFORT = 16
 
 
 class Handler(abc.ABC):
@@ -58,13 +57,19 @@
         return
 
 
-class Connection(asyncio.BufferedProtocol, buffer.Holder, overflow.Candidate):
+class Connection(asyncio.BufferedProtocol, buffer.Holder, overflow.Candidate, lane.Member):
     """Server side of one caller's connection."""
 
     def __init__(
-        self, handler: Handler, connections: set["Connection"], account: buffer.Account
+        self,
+        handler: Handler,
+        connections: set["Connection"],
+        account: buffer.Account,
+        queue: lane.Lane | None = None,
     ) -> None:
         self._handler = handler
+        self._lane = queue or lane.Lane()
+        self._is_queued = False  # in the lane
         self._connections = connections
         self._account = account
         self._receiver = receiver.Receiver(handler.limits, handler.max_header_lines)
@@ -103,10 +108,10 @@
         return False
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return _READ_BUFFER if self._receiver.piece_bytes > READ_BYTES else _SHORT_READ_BUFFER
+        return self._receiver.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(_READ_BUFFER[:nbytes])
+        self.data_received(receiver.READ_BUFFER[:nbytes])
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse what was received, up to a limit, and handle the requests that are complete."""
@@ -128,11 +133,16 @@
             self._end_receiving()
             return
         position = 0
+        last_effort = receiving.effort + MAX_EFFORT
         self._is_receiving = True
         try:
             while position < size and receiving.error is None and self._transport is not None:
-                if self._is_ahead():
+                is_costly = receiving.effort > last_effort
+                if is_costly or self._is_ahead():
                     self._unparsed = bytes(data[position:])
+                    if is_costly and not self._is_queued:
+                        self._is_queued = True
+                        self._lane.add(self)
                     break
                 end = position + receiving.piece_bytes
                 self._has_more_data = end < size
@@ -247,7 +257,8 @@
     def _continue(self) -> None:
         """Handle the next request, and parse and read on."""
         self._handle_next()
-        if self._is_receiving or self._transport is None or self._is_ahead():
+        is_waiting = self._is_receiving or self._is_queued or self._is_ahead()
+        if is_waiting or self._transport is None:
             return
         if self._unparsed:
             data, self._unparsed = self._unparsed, b""
@@ -258,6 +269,10 @@
             self._is_paused = False
             self._transport.resume_reading()
 
+    def proceed(self) -> None:
+        self._is_queued = False
+        self._continue()
+
     def reply(self, response: message.Response, keep_alive: bool = True) -> None:
         """Send the response to the request in progress.
 
@@ -291,6 +306,7 @@
         return (
             self._current is not None
             or self._receiver.is_reading
+            or bool(self._unparsed)
             or self._abort_at is not None
             or self._transport.get_write_buffer_size() > 0
         )
@@ -374,6 +390,7 @@
         max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self.connections: set[Connection] = set()
+        self._lane = lane.Lane()
         self.refused = 0  # connections that were closed because there were too many
         self._max_connections = max_connections
         self._handler = handler
@@ -414,7 +431,7 @@
                 return overflow.RefusedConnection()
             victim.abort()
             self.connections.discard(victim)
-        return Connection(self._handler, self.connections, self._account)
+        return Connection(self._handler, self.connections, self._account, self._lane)
 
     def _check_timeouts(self) -> None:
         loop = asyncio.get_running_loop()
@@ -441,16 +458,7 @@
         """
         if self._server is None or self._listener.fileno() < 0:
             return
-        loop = asyncio.get_running_loop()
-        for _ in range(BACKLOG):
-            try:
-                accepted, _ = self._listener.accept()
-            except OSError:  # the backlog is empty, or the caller has already closed
-                break
-            accepted.setblocking(False)
-            task = loop.create_task(loop.connect_accepted_socket(self._make_connection, accepted))
-            self._accept_tasks.add(task)
-            task.add_done_callback(self._accept_tasks.discard)
+        backlog.accept_all(self._listener, self._make_connection, self._accept_tasks, BACKLOG)
         self._server.close()
 
     async def drain(self, timeout_s: float) -> int:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,5 +1,7 @@
 """Requests on their way from a caller to the targets."""
 
+import asyncio
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -45,14 +47,20 @@
 
 def receive(pieces):
     """Feed pieces to a new connection; return the ingress and the transport."""
-    ingress = ingresses.Ingress([].append, iter(range(1000)).__next__)
-    ingress.limits = LIMITS
-    connection = servers.Connection(ingress, set(), buffer.Account(64 << 20))
-    transport = framing.FakeTransport()
-    connection.connection_made(transport)
-    for piece in pieces:
-        connection.data_received(piece)
-    return ingress, transport
+
+    async def run():
+        ingress = ingresses.Ingress([].append, iter(range(1000)).__next__)
+        ingress.limits = LIMITS
+        connection = servers.Connection(ingress, set(), buffer.Account(64 << 20))
+        transport = framing.FakeTransport()
+        connection.connection_made(transport)
+        for piece in pieces:
+            connection.data_received(piece)
+        while not ingress.requests and not transport.written:
+            await asyncio.sleep(0)  # many lines wait for further turns of the event loop
+        return ingress, transport
+
+    return asyncio.run(run())
 
 
 @hypothesis.given(LINES, st.lists(st.integers(0, 20_000), max_size=12))
