--- a/tests/platform/test_environment.py
+++ b/tests/platform/test_environment.py
@@ -19,12 +19,16 @@
             environment.BODY_VARIABLE: "2000",
             environment.STORE_BODY_VARIABLE: "3000",
             environment.TOTAL_VARIABLE: "4000",
+            environment.LINES_VARIABLE: "50",
+            environment.CONNECTIONS_VARIABLE: "60",
         }
     )
     assert parsed.limits == limit.BufferLimits(
         response=limit.ResponseLimits(1000, 10, 2000),
         store=limit.ResponseLimits(1000, 10, 3000),
         total_bytes=4000,
+        header_lines=50,
+        connections=60,
     )
 
 
