Quotas: the first live daemon admits most of the uncertain amount

The uncertain amount was divided among six fixed places, of which a caller reached one or two, and a daemon that had just started had no part for 5.5 s.

The first live daemon now has 0.6 of it, in proportion to the part of the fleet that it sees, so that the sides of a partition add up to no more. The six places share the rest, for the time until the loss of the first one is noticed. The part of a daemon that has just started grows as what its earlier process admitted leaves the window.

--- a/hyssopproxy/engine/tenure.py
+++ b/hyssopproxy/engine/tenure.py
@@ -3,9 +3,9 @@
 Handles partitions, frozen and restarted daemons without messages of its own: the owner is the first
 live daemon in an order by hash. It grants the full rate only after it has been the first, has seen
 most of the fleet and has not stood still for longer than any earlier owner may take to notice that
-it no longer is. Until then, and in a minority, daemons grant from the uncertain amount, of which
-the first places in the order of all known daemons, live or not, have a fixed part each; however the
-views of daemons differ, these parts never add up to more.
+it no longer is. Until then, and in a minority, the first live daemon grants from the uncertain
+amount, in proportion to the part of the fleet that it sees, and the next ones admit a few requests
+each until they notice that they have become the first.
 """
 
 import hashlib
@@ -27,9 +27,8 @@
 # Heartbeats of a seed that are heard before its contact counts: some 2 s while daemons start, in
 # which gossip reaches the whole fleet, and 4 s later.
 SEED_HEARTBEATS = 6
-PLACES = (
-    6  # that have a part of the uncertain amount; 55% of them down leaves none in 1 of 36 cases
-)
+PLACES = 6  # 55% of them down leaves none in 1 of 36 cases
+PLACES_PART = 0.4  # of the requests that are admitted without an owner
 CANDIDATES = 8  # daemons that are asked one after the other
 # A daemon that didn't answer is asked last for this long, doubled with each further silence; one
 # lost datagram should not cost an organisation its owner.
@@ -120,24 +119,34 @@
 
 
 def find_pool(state: states.State, organisation: int, amount: int, now: float) -> int:
-    """Return this daemon's part of an amount of requests in a window."""
+    """Return this daemon's part of an amount of requests in a window.
+
+    The first live daemon has most of it; in a partition, these parts add up to no more over all
+    sides. The first places in the order of all known daemons share the rest, for the time until the
+    loss of the first one is noticed.
+    """
     book, settings = state.quota, state.settings
     if not book.knows_fleet:
         return 0
-    if now - state.started_at < settings.quota_window_s + ledger.WINDOW_MARGIN_S:
-        return 0  # an earlier process may have used it
     own_score = score(organisation, settings.ip)
+    peers = _live_peers(state, now)
+    known = max(book.fleet_size, count_fleet(state))
+    spread = round(PLACES_PART * amount)
+    part = 0.0
+    if not any(score(organisation, member.ip) > own_score for member in peers):
+        part += (amount - spread) * (len(peers) + 1) / known
     place = sum(
         score(organisation, member.ip) > own_score
         for member in state.members.values()
         if member.has_quota
     )
-    known = count_fleet(state)
-    place += max(0, book.fleet_size - known)  # unknown daemons may come before it
-    places = min(PLACES, max(known, book.fleet_size), amount)
-    if place >= places:
-        return 0
-    return amount // places + (place < amount % places)
+    place += known - count_fleet(state)  # unknown daemons may come before it
+    places = min(PLACES, known, spread)
+    if place < places:
+        part += spread // places + (place < spread % places)
+    # What an earlier process admitted leaves the window while this one runs.
+    age_s = now - state.started_at
+    return int(part * min(1.0, age_s / (settings.quota_window_s + ledger.WINDOW_MARGIN_S)))
 
 
 def handle_tick(state: states.State, now: float, out: list) -> None:
