Quotas: an organisation within its rate is served while nobody grants the full rate

While it does not own the quota, the first live daemon now also admits up to the rate, in proportion to the part of the fleet that it sees, as long as the demand of the last second is within that. Demand within the limit cannot exceed it, whoever grants it; an organisation far over its rate is noticed within the first requests of that second. Four heartbeats of the seeds instead of six are waited for after a start.

--- a/hyssopproxy/engine/ledger.py
+++ b/hyssopproxy/engine/ledger.py
@@ -207,6 +207,20 @@
         return self.granted - self.used
 
 
+@attrs.define(eq=False)
+class Pool:
+    """Requests of an organisation that this daemon decides while it does not own its quota."""
+
+    asked_at: collections.deque[float] = attrs.field(factory=collections.deque)  # admitted or not
+    used_at: collections.deque[float] = attrs.field(factory=collections.deque)  # admitted ones
+
+    def advance(self, now: float, demand_s: float, window_s: float) -> None:
+        """Forget the requests that have left the time of the demand, or the window."""
+        for times, horizon in ((self.asked_at, now - demand_s), (self.used_at, now - window_s)):
+            while times and times[0] <= horizon:
+                times.popleft()
+
+
 @attrs.define(eq=False)
 class Book:
     """All that a daemon knows of quotas."""
@@ -215,8 +229,7 @@
     organisations: dict[int, typing.Any] = attrs.field(factory=dict)  # with a quota, by number
     accounts: dict[int, Account] = attrs.field(factory=dict)  # owned by this daemon, or soon
     purses: dict[int, Purse] = attrs.field(factory=dict)
-    # Times of requests that this daemon has admitted from its part of the uncertain amount.
-    pools: dict[int, collections.deque[float]] = attrs.field(factory=dict)
+    pools: dict[int, Pool] = attrs.field(factory=dict)  # by organisation
     fleet_size: int = 1  # daemons that a majority is counted of
     knows_fleet: bool = False  # enough of the fleet has been heard of to count a majority
     majority_since: float = 0.0  # since when most of the fleet has been live
--- a/hyssopproxy/engine/quota.py
+++ b/hyssopproxy/engine/quota.py
@@ -41,6 +41,8 @@
 # A later answer is not used: its credits were charged when they were granted, and would be used in
 # a later window. It is as long as a question waits, a frozen process gets older ones.
 MAX_ANSWER_AGE_S = 0.1
+DEMAND_S = 1.0  # time over which the demand is measured while nobody grants the full rate
+BURST_FACTOR = 1.3  # demand over the rate that is within the variation of that time
 MIN_RETRY_S = 0.1  # told to callers that are refused
 
 
@@ -245,7 +247,12 @@
 
 
 def _use_pool(state: states.State, item: datagram.QuotaItem, wanted: int, now: float) -> int:
-    """Admit requests from this daemon's part of the uncertain amount; return how many."""
+    """Admit requests without the full rate; return how many.
+
+    They are of this daemon's part of the uncertain amount. An organisation whose demand here is
+    within its rate, in proportion to the part of the fleet that is seen, cannot exceed its limit,
+    and may use that.
+    """
     if not wanted:
         return 0
     settings = state.settings
@@ -258,14 +265,16 @@
     )
     amount = int(ledger.POOL_PART * uncertain)
     part = tenure.find_pool(state, item.organisation, amount, now)
-    if not part:
-        return 0
-    used_at = state.quota.pools.setdefault(item.organisation, collections.deque())
-    horizon = now - settings.quota_window_s - ledger.WINDOW_MARGIN_S
-    while used_at and used_at[0] <= horizon:
-        used_at.popleft()
-    count = max(0, min(wanted, part - len(used_at)))
-    used_at.extend([now] * count)
+    pool = state.quota.pools.setdefault(item.organisation, ledger.Pool())
+    pool.advance(now, DEMAND_S, settings.quota_window_s + ledger.WINDOW_MARGIN_S)
+    pool.asked_at.extend([now] * wanted)
+    share = 0.0  # an owner that grants the full rate has no more
+    if not tenure.is_owner(state, item.organisation, now):
+        share = tenure.find_share(state, item.organisation, now)
+    if len(pool.asked_at) <= BURST_FACTOR * share * limit.rate_per_s * DEMAND_S:
+        part = max(part, int(share * limit.rate_per_s * settings.quota_window_s))
+    count = max(0, min(wanted, part - len(pool.used_at)))
+    pool.used_at.extend([now] * count)
     state.counters["quota_pooled"] += count
     return count
 
--- a/hyssopproxy/engine/tenure.py
+++ b/hyssopproxy/engine/tenure.py
@@ -24,9 +24,9 @@
 MAX_PINGS = 8  # at a time, for one organisation
 MAX_PAUSE_S = 0.5  # time without a tick after which an owner begins anew
 MAX_FLEET_AGE_S = membership.MEMBER_EXPIRY_S  # the fleet counts as known after this long
-# Heartbeats of a seed that are heard before its contact counts: some 2 s while daemons start, in
-# which gossip reaches the whole fleet, and 4 s later.
-SEED_HEARTBEATS = 6
+# Heartbeats of a seed that are heard before its contact counts: some 1 s while daemons start, in
+# which gossip reaches most of the fleet, and 3 s later.
+SEED_HEARTBEATS = 4
 PLACES = 6  # 55% of them down leaves none in 1 of 36 cases
 PLACES_PART = 0.4  # of the requests that are admitted without an owner
 CANDIDATES = 8  # daemons that are asked one after the other
@@ -118,6 +118,20 @@
     return now >= account.started_at
 
 
+def find_share(state: states.State, organisation: int, now: float) -> float:
+    """Return the share of the fleet for which this daemon grants requests, 0 if it is not first.
+
+    The shares of all sides of a partition add up to 1.
+    """
+    if not state.quota.knows_fleet:
+        return 0.0
+    own_score = score(organisation, state.settings.ip)
+    peers = _live_peers(state, now)
+    if any(score(organisation, member.ip) > own_score for member in peers):
+        return 0.0
+    return (len(peers) + 1) / max(state.quota.fleet_size, count_fleet(state))
+
+
 def find_pool(state: states.State, organisation: int, amount: int, now: float) -> int:
     """Return this daemon's part of an amount of requests in a window.
 
@@ -128,13 +142,10 @@
     book, settings = state.quota, state.settings
     if not book.knows_fleet:
         return 0
-    own_score = score(organisation, settings.ip)
-    peers = _live_peers(state, now)
     known = max(book.fleet_size, count_fleet(state))
     spread = round(PLACES_PART * amount)
-    part = 0.0
-    if not any(score(organisation, member.ip) > own_score for member in peers):
-        part += (amount - spread) * (len(peers) + 1) / known
+    part = (amount - spread) * find_share(state, organisation, now)
+    own_score = score(organisation, settings.ip)
     place = sum(
         score(organisation, member.ip) > own_score
         for member in state.members.values()
