--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -11,6 +11,7 @@
 OVERDUE_COST_S = 0.15  # expected remaining pause once a target's oldest request is overdue
 LOAD_WEIGHT = 1.0  # a target whose slots are all in use by this daemon takes twice as long
 FAILURE_COST_S = 0.25  # expected time lost when a target sheds or fails a request
+LATE_PRIORITY = 16  # added to the priority of a retry that can hardly be answered on time
 MIN_HEDGE_DELAY_S = 0.008  # a hedge sooner than this cannot beat the first request
 
 
@@ -155,9 +156,72 @@
         return is_past_objective and coverage >= least_coverage
 
 
+class AdmissionPolicy(abc.ABC):
+    """Divides the capacity for new requests among their priorities."""
+
+    #: Short name in settings.
+    name = ""
+
+    @abc.abstractmethod
+    def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
+        """Return the share of the requests of each priority to admit.
+
+        `share` is the share of all requests that there is capacity for; `offered` has the requests
+        of each priority, in any unit.
+        """
+
+    @abc.abstractmethod
+    def rank(self, priority: int) -> int:
+        """Return the rank of a waiting request; the lowest one is served first."""
+
+
+class ArrivalOrder(AdmissionPolicy):
+    """Baseline: everything is admitted, in order of arrival."""
+
+    name = "arrival"
+
+    def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
+        return dict.fromkeys(offered, 1.0)
+
+    def rank(self, priority: int) -> int:
+        return 0
+
+
+class StrictPriority(AdmissionPolicy):
+    """The most urgent priority first, with a reserve for each less urgent one.
+
+    The reserve is a fraction of the mean share, so that no kind of request is starved.
+    """
+
+    name = "priority"
+    #: Each kind is to be served a quarter of the mean; the rest covers requests that fail.
+    reserve_fraction = 0.5
+    #: The same for late retries; callers with an unusually short timeout look like them.
+    late_reserve = 0.05
+
+    def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
+        reserves = {
+            priority: share
+            * (self.late_reserve if priority >= LATE_PRIORITY else self.reserve_fraction)
+            for priority in offered
+        }
+        left = sum((share - reserves[priority]) * demand for priority, demand in offered.items())
+        shares = {}
+        for priority in sorted(offered):
+            demand = offered[priority]
+            extra = min(left, demand * (1.0 - reserves[priority]))
+            shares[priority] = reserves[priority] + extra / demand if demand > 0.0 else 1.0
+            left -= extra
+        return shares
+
+    def rank(self, priority: int) -> int:
+        return priority
+
+
 PLACEMENTS = {policy.name: policy for policy in (Random, Nearest, ExpectedLatency)}
 HEDGES = {policy.name: policy for policy in (NoHedge, Quantile)}
 WAITS = {policy.name: policy for policy in (WaitAll, AnswerAtObjective)}
+ADMISSIONS = {policy.name: policy for policy in (ArrivalOrder, StrictPriority)}
 
 
 @attrs.frozen
@@ -167,17 +231,19 @@
     placement: PlacementPolicy
     hedge: HedgePolicy
     wait: WaitPolicy
+    admission: AdmissionPolicy
 
 
 def from_names(names: typing.Mapping[str, str]) -> Policies:
     """Return the policies with the given names; raise `problem.UserError` for unknown names."""
     chosen = {}
     errors = []
-    kinds = {"placement": PLACEMENTS, "hedge": HEDGES, "wait": WAITS}
+    kinds = {"placement": PLACEMENTS, "hedge": HEDGES, "wait": WAITS, "admission": ADMISSIONS}
     defaults = {
         "placement": ExpectedLatency.name,
         "hedge": Quantile.name,
         "wait": AnswerAtObjective.name,
+        "admission": StrictPriority.name,
     }
     for kind, classes in kinds.items():
         name = names.get(kind, defaults[kind])
