Admission by priority when demand exceeds capacity

Under overload each shard served parts of all searches and hardly any search had enough of them. Parts that found no free capacity were retried in the order of a set, at ticks only, and refused up to 50 ms after a quarter of the objective. Retry times were 0.2 s whatever the backlog.

Each daemon sends the counts of its requests to a few random daemons (a new datagram type). If requests fail and targets shed or answer from a queue, the rate of admitted requests is limited, the least urgent priority first, with a reserve for each. Refusals are immediate and state the estimated time until there is capacity. Retries that can hardly be on time come last. Hedges of answers that a queue explains are not sent under a limit. Waiting requests go by priority, then by what can be on time; they continue when a slot becomes free and are refused within a quarter of the objective. Nothing changes without published priorities.

--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -4,6 +4,7 @@
 executed the request, and randomised retry times keep callers from returning all at once.
 """
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
@@ -37,16 +38,25 @@
 
 
 def refuse_new(
-    state: states.State, arrived: event.RequestArrived, reason: Refusal, now: float, out: list
+    state: states.State,
+    arrived: event.RequestArrived,
+    reason: Refusal,
+    now: float,
+    out: list,
+    verdict: admission.Verdict | None = None,
 ) -> None:
-    """Refuse a request before anything is sent to a target."""
+    """Refuse a request before anything is sent to a target; a verdict has its retry time."""
     retry_after_s = _retry_after_s(state, now)
+    if verdict is not None:
+        retry_after_s = max(retry_after_s, verdict.retry_after_s)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
         "reason": reason.value,
         "version": state.table.version if state.table else 0,
     }
+    if verdict is not None:
+        fields |= verdict.inputs | {"retry_after_s": round(retry_after_s, 2)}
     out.append(effect.Log("request_refused", fields, is_urgent=True))
     out.append(effect.Refuse(arrived.query_no, reason, True, retry_after_s))
 
@@ -65,11 +75,13 @@
     total = len(query.parts)
     replies = tuple(part.reply for part in query.parts if part.reply is not None)
     route = query.route
+    is_delivered = bool(replies) and len(replies) / total >= route.least_coverage
+    admission.record_outcome(state, query, is_delivered, now)
     if not route.is_search and (replies or query.parts[0].failure is not None):
         reply = replies[0] if replies else query.parts[0].failure
         log_outcome(state, query, "delivered" if replies else "target_failure", now, out)
         out.append(effect.Deliver(query.number, reply))
-    elif replies and len(replies) / total >= route.least_coverage:
+    elif is_delivered:
         log_outcome(state, query, "delivered" if len(replies) == total else "partial", now, out)
         out.append(effect.DeliverSearch(query.number, replies, total - len(replies), route.top_k))
     else:
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -8,6 +8,7 @@
 from hyssopproxy import address
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+Small = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 Number = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]  # neither infinite nor NaN
 Name = typing.Annotated[str, msgspec.Meta(max_length=200)]
 
@@ -71,7 +72,34 @@
     ip: Name  # of the sender
 
 
-Message = Gossip | Reports | LostDomains | Ping
+class LoadEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of the requests for one resource and priority, in thousandths."""
+
+    resource: Small  # hash of its name
+    priority: Small
+    offered: Small
+    served: Small
+    failed: Small
+    tried: Small
+    queued: Small
+
+
+class LimitEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Rate of admitted requests for one resource, in thousandths per second and daemon."""
+
+    resource: Small
+    rate: Small
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Counts of the requests of a daemon, of which older ones weigh less, and its limits."""
+
+    weight_ms: Small  # time that the counts stand for
+    entries: tuple[LoadEntry, ...]
+    limits: tuple[LimitEntry, ...] = ()
+
+
+Message = Gossip | Reports | LostDomains | Ping | Load
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -119,6 +119,13 @@
     message: datagram.Ping
 
 
+@attrs.frozen
+class LoadReceived:
+    """Counts of requests arrived from another daemon."""
+
+    message: datagram.Load
+
+
 @attrs.frozen
 class SettingsChanged:
     """The settings file was reloaded."""
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -7,6 +7,7 @@
 import traceback
 import typing
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import effect
@@ -113,6 +114,7 @@
     catalog.handle_tick,
     query.record_overdue_attempts,
     report.handle_tick,
+    admission.handle_tick,
     reach.handle_tick,
     query.retry_waiting_parts,
     _log_readiness_change,
--- a/hyssopproxy/engine/model.py
+++ b/hyssopproxy/engine/model.py
@@ -80,6 +80,7 @@
     key_owners: dict[bytes, Organisation] = attrs.field(factory=dict, repr=False)
     requires_keys: bool = False  # on all routes that are not public
     by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, repr=False)
+    has_priorities: bool = attrs.field(init=False)  # whether any differ from the default
 
     def __attrs_post_init__(self) -> None:
         hosts: dict[str, list[Route]] = {}
@@ -90,6 +91,10 @@
             for host, routes in hosts.items()
         }
         object.__setattr__(self, "by_host", ordered)
+        has_priorities = any(route.priority for route in self.routes) or any(
+            owner.priority is not None for owner in self.key_owners.values()
+        )
+        object.__setattr__(self, "has_priorities", has_priorities)
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -179,14 +179,30 @@
     return False
 
 
+def has_free_target(state: states.State, pool: str, now: float) -> bool:
+    """Return whether a healthy target of a pool has a slot that this daemon may use now."""
+    return any(
+        _is_healthy(state, target, now)
+        and now >= target.shed_until
+        and len(target.attempts)
+        < min(max(1, target.entry.slots), connection_share(state, target, now))
+        for target in state.pools.get(pool, {}).values()
+    )
+
+
 def has_healthy_target(state: states.State, pool: str, now: float) -> bool:
     """Return whether a pool has a target that is reachable, in service and not backed off."""
-    return any(
+    return any(_is_healthy(state, target, now) for target in state.pools.get(pool, {}).values())
+
+
+def _is_healthy(state: states.State, target: states.Target, now: float) -> bool:
+    """Return whether a target is reachable, in service and not backed off."""
+    domain = target.entry.failure_domain
+    return (
         not target.is_misdirected
         and target.removed_at is None
         and target.draining_since is None
         and now >= target.backoff_until
-        and target.entry.failure_domain not in state.domain_lost_at
-        and target.entry.failure_domain not in state.evacuated_domains.values()
-        for target in state.pools.get(pool, {}).values()
+        and domain not in state.domain_lost_at
+        and domain not in state.evacuated_domains.values()
     )
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -5,6 +5,7 @@
 A plain request is handled like a search over one shard; its answer is forwarded unchanged.
 """
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import budget
 from hyssopproxy.engine import effect
@@ -22,7 +23,6 @@
 DEADLINE_MARGIN_S = 0.025  # time reserved to deliver the answer before the caller times out
 SEND_GRACE_S = 0.4  # an attempt not sent within this time of its decision is dropped and retried
 HEDGE_RETRY_S = 0.02  # delay until a hedge without a target or budget is tried again
-DISCONNECT_GRACE_S = 0.3  # how long attempts may continue after their caller disconnected
 MAX_WAIT_FRACTION = 0.25  # longest wait for a target or budget, as a fraction of the objective
 MIN_OBJECTIVE_FRACTION = 0.35  # with less of the objective left, no answer can be on time
 MAX_QUERIES = 600  # requests in progress; further ones are refused
@@ -48,21 +48,22 @@
     query = _create_query(state, route, arrived, now)
     refusal = _find_refusal(state, query, now)
     if refusal is not None:
-        answer.refuse_new(state, arrived, refusal, now, out)
+        answer.refuse_new(state, arrived, refusal, now, out, query.verdict)
         return
-    admission = states.Admission(arrived, query)
-    decision = quota.decide(state, admission, now, out)
+    pending = states.Admission(arrived, query)
+    decision = quota.decide(state, pending, now, out)
     if decision is quota.Decision.ADMITTED:
         _start(state, query, now, out)
 
 
-def admit(state: states.State, admission: states.Admission, now: float, out: list) -> None:
+def admit(state: states.State, pending: states.Admission, now: float, out: list) -> None:
     """Send a request whose admission was pending, unless it has to be refused meanwhile."""
-    refusal = _find_refusal(state, admission.query, now)
+    query = pending.query
+    refusal = _find_refusal(state, query, now)
     if refusal is not None:
-        answer.refuse_new(state, admission.arrived, refusal, now, out)
+        answer.refuse_new(state, pending.arrived, refusal, now, out, query.verdict)
         return
-    _start(state, admission.query, now, out)
+    _start(state, query, now, out)
 
 
 def _start(state: states.State, query: states.Query, now: float, out: list) -> None:
@@ -86,6 +87,10 @@
         return Refusal.COVERAGE_TOO_LOW
     if not answer.can_finish(state, query, now):
         return Refusal.STOPPING
+    verdict = admission.decide(state, query, now)
+    if not verdict.is_admitted:
+        query.verdict = verdict
+        return Refusal.OVERLOADED
     return None
 
 
@@ -183,16 +188,18 @@
 
 
 def _wait_for_target(state: states.State, part: states.Part, reason: str, now: float) -> None:
-    """Mark a part for a retry at the next tick; give it up after the maximum wait.
+    """Mark a part for a retry; give it up after the maximum wait.
 
-    It is given up immediately if its pool has no healthy target.
+    It is given up immediately if its pool has no healthy target, or if an answer could no longer
+    arrive by the deadline.
     """
     if part.waiting_since is None:
         part.waiting_since = now
-    max_wait_s = MAX_WAIT_FRACTION * part.query.route.objective_s
+    typical_s = state.statistics(part.query.route).latency.median
     if (
         not placement.has_healthy_target(state, part.pool, now)
-        or now - part.waiting_since >= max_wait_s
+        or now >= _wait_end(part)
+        or now + typical_s >= part.query.deadline
     ):
         part.reason = f"{part.reason} {reason}".strip()
         _give_up(part, reason)
@@ -200,6 +207,11 @@
     state.waiting_queries.add(part.query.number)
 
 
+def _wait_end(part: states.Part) -> float:
+    """Return when a waiting part is given up."""
+    return part.waiting_since + MAX_WAIT_FRACTION * part.query.route.objective_s
+
+
 def _give_up(part: states.Part, reason: str) -> None:
     if part.is_open and not part.attempts:
         part.is_given_up = True
@@ -278,6 +290,7 @@
     if outcome.may_have_arrived:
         part.may_have_arrived = True
     if attempt.is_abandoned or query.number not in state.queries or not part.is_open:
+        _retry_for_pool(state, part.pool, now, out)
         return
     if outcome is Outcome.ANSWERED:
         part.reply = ended.reply
@@ -297,6 +310,7 @@
         if not part.attempts:
             _send_or_wait(state, part, now, out)
         _finish_or_schedule(state, query, now, out)
+    _retry_for_pool(state, part.pool, now, out)
 
 
 def _record_outcome(
@@ -306,6 +320,7 @@
     target = attempt.target
     outcome = ended.outcome
     state.counters[f"attempts_{outcome.value}"] += 1
+    admission.record_attempt(state, attempt, outcome, now)
     latency = state.statistics(attempt.part.query.route).latency
     if outcome is not Outcome.ANSWERED and outcome.may_have_arrived:
         health.record_silent(state, attempt, now)
@@ -360,6 +375,9 @@
         for part in query.parts:
             if part.is_open:
                 _hedge_if_due(state, part, now, out)
+        if query.number in state.waiting_queries:
+            state.waiting_queries.discard(query.number)
+            _retry_parts(state, query, now, out)
     _finish_or_schedule(state, query, now, out)
 
 
@@ -373,6 +391,9 @@
     if not answer.can_finish(state, part.query, now):
         part.reason = "stopping"
         return
+    if not admission.may_hedge(state, part, now):
+        part.reason = "limited"
+        return
     if not has_budget(state, part.pool, now, is_hedge=True):
         state.counters["hedges_over_budget"] += 1
         part.reason = "hedge_budget"
@@ -385,18 +406,30 @@
 
 
 def retry_waiting_parts(state: states.State, now: float, out: list) -> None:
-    """Retry parts that found no target or budget."""
-    for number in list(state.waiting_queries):
-        state.waiting_queries.discard(number)
-        query = state.queries.get(number)
-        if query is None:
-            continue
-        for part in query.parts:
-            if part.is_open and not part.attempts:
-                _send_or_wait(state, part, now, out)
+    """Retry parts that found no target or budget, the most urgent requests first."""
+    queries = [state.queries[number] for number in state.waiting_queries if number in state.queries]
+    state.waiting_queries.clear()
+    queries.sort(key=lambda query: admission.rank_waiting(state, query, now))
+    for query in queries:
+        _retry_parts(state, query, now, out)
         _finish_or_schedule(state, query, now, out)
 
 
+def _retry_parts(state: states.State, query: states.Query, now: float, out: list) -> None:
+    for part in query.parts:
+        if part.is_open and not part.attempts:
+            _send_or_wait(state, part, now, out)
+
+
+def _retry_for_pool(state: states.State, pool: str, now: float, out: list) -> None:
+    """Retry the waiting parts of a pool whose target has a free slot."""
+    for number in state.waiting_queries:
+        query = state.queries.get(number)
+        if query is not None and any(part.pool == pool for part in query.parts):
+            retry_waiting_parts(state, now, out)
+            return
+
+
 def record_overdue_attempts(state: states.State, now: float, out: list) -> None:
     """Record overdue and silent attempts against their targets."""
     for attempt in state.attempts.values():
@@ -416,6 +449,10 @@
     next_at = query.deadline
     if query.route.is_search and query.objective_at > now:
         next_at = min(next_at, query.objective_at)
+    if query.number in state.waiting_queries:
+        for part in query.parts:
+            if part.is_open and part.waiting_since is not None:
+                next_at = min(next_at, _wait_end(part))
     can_hedge = query.route.is_idempotent
     for part in query.parts:
         if not can_hedge or not part.is_open or part.runs >= query.route.max_attempts:
@@ -444,50 +481,3 @@
     return state.policies.wait.is_enough(
         query.answered_parts / total, least_coverage, is_past_objective
     )
-
-
-def handle_disconnected(
-    state: states.State, disconnected: event.CallerDisconnected, now: float, out: list
-) -> None:
-    """Abandon the request of a caller that disconnected.
-
-    Its attempts are cancelled only after a grace period, since cancelling one closes its
-    connection to the target.
-    """
-    quota.forget(state, disconnected.query_no)
-    query = state.queries.get(disconnected.query_no)
-    if query is None:
-        return
-    state.counters["callers_gone"] += 1
-    running = tuple(attempt.number for part in query.parts for attempt in part.attempts)
-    answer.remove_query(state, query)
-    for part in query.parts:
-        answer.abandon_attempts(part, out)
-    answer.log_outcome(state, query, "caller_gone", now, out)
-    if running:
-        out.append(effect.ScheduleEvent(now + DISCONNECT_GRACE_S, event.CancelDue(running)))
-
-
-def handle_request_failed(
-    state: states.State, failed: event.RequestFailed, now: float, out: list
-) -> None:
-    """Refuse a request whose processing was interrupted by an unexpected error.
-
-    Whether a target has executed it is unknown.
-    """
-    query = state.queries.get(failed.query_no)
-    if query is not None:
-        answer.remove_query(state, query)
-        for part in query.parts:
-            answer.abandon_attempts(part, out)
-    state.counters["refused_internal_error"] += 1
-    out.append(effect.Refuse(failed.query_no, Refusal.INTERNAL_ERROR, is_not_run=False))
-
-
-def handle_cancel_due(state: states.State, due: event.CancelDue, now: float, out: list) -> None:
-    """Cancel the attempts that are still running after their caller disconnected."""
-    for number in due.attempt_nos:
-        attempt = state.attempts.pop(number, None)
-        if attempt is not None:
-            attempt.target.attempts.pop(number, None)
-            out.append(effect.Cancel(number))
--- a/hyssopproxy/engine/reducer.py
+++ b/hyssopproxy/engine/reducer.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from hyssopproxy.engine import admission
+from hyssopproxy.engine import caller
 from hyssopproxy.engine import event
 from hyssopproxy.engine import lifecycle
 from hyssopproxy.engine import membership
@@ -28,11 +30,11 @@
 
 _HANDLERS: dict[type, Handler] = {
     event.RequestArrived: query.handle_arrived,
-    event.CallerDisconnected: query.handle_disconnected,
+    event.CallerDisconnected: caller.handle_disconnected,
     event.AttemptEnded: query.handle_ended,
     event.QueryDue: query.handle_due,
-    event.CancelDue: query.handle_cancel_due,
-    event.RequestFailed: query.handle_request_failed,
+    event.CancelDue: caller.handle_cancel_due,
+    event.RequestFailed: caller.handle_request_failed,
     event.PageRead: sync.handle_page,
     event.ChangesRead: sync.handle_changes,
     event.ReadFailed: sync.handle_read_failed,
@@ -40,6 +42,7 @@
     event.ReportsReceived: report.handle_reports,
     event.LostDomainsReceived: reach.handle_lost_domains,
     event.PingReceived: membership.handle_ping,
+    event.LoadReceived: admission.handle_load,
     event.SettingsChanged: lifecycle.handle_settings,
     event.Tick: lifecycle.handle_tick,
     event.StopRequested: lifecycle.handle_stop,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -12,6 +12,7 @@
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
 from hyssopproxy.engine import policy
+from hyssopproxy.engine import pressure
 from hyssopproxy.engine import stall
 
 NEVER = float("-inf")  # time of an event that has not happened
@@ -127,6 +128,8 @@
     answered_parts: int = 0
     extra_attempts: int = 0  # hedges, and retries of requests that a target may have received
     next_due_at: float = float("inf")  # time of the next `QueryDue` event
+    is_admitted: bool = False  # by `admission`
+    verdict: typing.Any = None  # of `admission`, if it refused the request
 
     @property
     def priority(self) -> int:
@@ -248,6 +251,7 @@
     queries: dict[int, Query] = attrs.field(factory=dict)
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
     waiting_queries: set[int] = attrs.field(factory=set)  # queries with parts to retry
+    load: pressure.Pressure = attrs.field(factory=pressure.Pressure)
     sync: Sync = attrs.field(factory=Sync)
     members: dict[str, Member] = attrs.field(factory=dict)
     heartbeat: int = 0
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -192,6 +192,7 @@
     datagram.Reports: events.ReportsReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
+    datagram.Load: events.LoadReceived,
 }
 
 _EXECUTORS: dict[type, typing.Callable] = {
--- a/tests/engine/fleet.py
+++ b/tests/engine/fleet.py
@@ -14,6 +14,7 @@
     datagram.Reports: event.ReportsReceived,
     datagram.LostDomains: event.LostDomainsReceived,
     datagram.Ping: event.PingReceived,
+    datagram.Load: event.LoadReceived,
 }
 
 
