--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -6,6 +6,7 @@
 
 import math
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import coverage
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
@@ -48,13 +49,17 @@
     reason: Refusal,
     now: float,
     out: list,
+    *,
     opening_s: float = 0.0,
+    min_retry_s: float = 0.0,
+    details: dict | None = None,
 ) -> None:
     """Refuse a request before anything is sent to a target.
 
-    `opening_s` is the time until targets accept it, 0 if unknown.
+    `opening_s` is the time until targets accept it, 0 if unknown; `min_retry_s` is the earliest
+    time at which it may be admitted. `details` go into the log line.
     """
-    retry_after_s = _retry_after_s(state, now, opening_s)
+    retry_after_s = max(_retry_after_s(state, now, opening_s), min_retry_s)
     state.counters[f"refused_{reason.value}"] += 1
     fields = {
         "request_id": arrived.request_id,
@@ -63,6 +68,9 @@
     }
     if opening_s > 0.0:
         fields["opening_s"] = round(opening_s, 3)
+    if min_retry_s > 0.0:
+        fields["retry_after_s"] = round(retry_after_s, 2)
+    fields |= details or {}
     out.append(effect.Log("request_refused", fields, is_urgent=True))
     out.append(effect.Refuse(arrived.query_no, reason, True, retry_after_s))
 
@@ -81,11 +89,13 @@
     total = len(query.parts)
     replies = tuple(part.reply for part in query.parts if part.reply is not None)
     route = query.route
+    is_delivered = bool(replies) and len(replies) / total >= route.least_coverage
+    admission.record_outcome(state, query, is_delivered, now)
     if not route.is_search and (replies or query.parts[0].failure is not None):
         reply = replies[0] if replies else query.parts[0].failure
         log_outcome(state, query, "delivered" if replies else "target_failure", now, out)
         out.append(effect.Deliver(query.number, reply))
-    elif replies and len(replies) / total >= route.least_coverage:
+    elif is_delivered:
         log_outcome(state, query, "delivered" if len(replies) == total else "partial", now, out)
         out.append(effect.DeliverSearch(query.number, replies, total - len(replies), route.top_k))
     else:
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -7,6 +7,7 @@
 import traceback
 import typing
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import closing
@@ -117,6 +118,7 @@
     query.record_overdue_attempts,
     report.handle_tick,
     speed.handle_tick,
+    admission.handle_tick,
     reach.handle_tick,
     query.retry_waiting_parts,
     _log_readiness_change,
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -193,6 +193,7 @@
     datagram.Answers: events.AnswersReceived,
     datagram.LostDomains: events.LostDomainsReceived,
     datagram.Ping: events.PingReceived,
+    datagram.Load: events.LoadReceived,
 }
 
 _EXECUTORS: dict[type, typing.Callable] = {
--- a/tests/engine/fleet.py
+++ b/tests/engine/fleet.py
@@ -16,6 +16,7 @@
     datagram.Answers: event.AnswersReceived,
     datagram.LostDomains: event.LostDomainsReceived,
     datagram.Ping: event.PingReceived,
+    datagram.Load: event.LoadReceived,
 }
 
 
