--- a/hyssopproxy/engine/answer.py
+++ b/hyssopproxy/engine/answer.py
@@ -6,6 +6,7 @@
 
 import math
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import coverage
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
@@ -68,6 +69,9 @@
     }
     if opening_s > 0.0:
         fields["opening_s"] = round(opening_s, 3)
+    if min_retry_s > 0.0:
+        fields["retry_after_s"] = round(retry_after_s, 2)
+    fields |= details or {}
     out.append(effect.Log("request_refused", fields, is_urgent=True))
     out.append(effect.Refuse(arrived.query_no, reason, True, retry_after_s))
 
@@ -86,11 +90,13 @@
     total = len(query.parts)
     replies = tuple(part.reply for part in query.parts if part.reply is not None)
     route = query.route
+    is_delivered = bool(replies) and len(replies) / total >= route.least_coverage
+    admission.record_outcome(state, query, is_delivered, now)
     if not route.is_search and (replies or query.parts[0].failure is not None):
         reply = replies[0] if replies else query.parts[0].failure
         log_outcome(state, query, "delivered" if replies else "target_failure", now, out)
         out.append(effect.Deliver(query.number, reply))
-    elif replies and len(replies) / total >= route.least_coverage:
+    elif is_delivered:
         log_outcome(state, query, "delivered" if len(replies) == total else "partial", now, out)
         out.append(effect.DeliverSearch(query.number, replies, total - len(replies), route.top_k))
     else:
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -7,6 +7,7 @@
 import traceback
 import typing
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import closing
@@ -125,6 +126,7 @@
     speed.handle_tick,
     scarcity.handle_tick,
     misdirection.handle_tick,
+    admission.handle_tick,
     reach.handle_tick,
     tenure.handle_tick,
     permit.handle_tick,
--- a/hyssopproxy/platform/runtime.py
+++ b/hyssopproxy/platform/runtime.py
@@ -200,6 +200,7 @@
     datagram.Ping: events.PingReceived,
     datagram.QuotaAsk: events.QuotaAskReceived,
     datagram.QuotaAnswer: events.QuotaAnswerReceived,
+    datagram.Load: events.LoadReceived,
 }
 
 _EXECUTORS: dict[type, typing.Callable] = {
