--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -209,9 +209,12 @@
         shares = {}
         for priority in sorted(offered):
             demand = offered[priority]
-            extra = min(left, demand * (1.0 - reserves[priority]))
-            shares[priority] = reserves[priority] + extra / demand if demand > 0.0 else 1.0
-            left -= extra
+            extra = 1.0 - reserves[priority]
+            if left < demand * extra:
+                extra, left = left / demand, 0.0
+            else:
+                left -= demand * extra
+            shares[priority] = reserves[priority] + extra
         return shares
 
     def rank(self, priority: int) -> int:
