Admission: faults of targets are no evidence of load; one wait in all for a target

A search that fails only because targets fail it, or because all targets of a shard shed everything, would fail at any load, yet counted as overload if queues were seen elsewhere.

A request that was shed after a wait waited anew and a search could be refused without having run after 0.30 of its objective.

Tests: an overload of a pool of plain requests (test_overload_of_a_pool_is_served_by_priority). `pytest tests/engine tests/platform/test_boundary.py tests/platform/test_environment.py` passes.

--- a/hyssopproxy/engine/admission.py
+++ b/hyssopproxy/engine/admission.py
@@ -44,6 +44,13 @@
 MAX_PRIORITY = policy.LATE_PRIORITY - 1  # higher numbers are counted as this one
 
 
+_FAULT_REASONS = frozenset(
+    outcome.value
+    for outcome in model.Outcome
+    if outcome.is_target_fault and outcome is not model.Outcome.TIMEOUT
+)
+
+
 @attrs.frozen
 class Verdict:
     """Whether a request is admitted, and the inputs of that decision."""
@@ -57,9 +64,9 @@
 
 
 def is_configured(state: states.State) -> bool:
-    """Return whether the published configuration has priorities."""
+    """Return whether the published configuration has priorities and the policy uses them."""
     table = state.table
-    return table is not None and table.has_priorities
+    return table is not None and table.has_priorities and state.policies.admission.has_limits
 
 
 def decide(state: states.State, query: states.Query, now: float) -> Verdict:
@@ -133,10 +140,29 @@
     counts = state.load.record(*key)
     if is_delivered and now <= query.arrived_at + query.route.objective_s:
         counts.served += 1.0
-    else:
+    elif now >= query.objective_at or not _is_target_fault(state, query):
         counts.failed += 1.0
 
 
+def _is_target_fault(state: states.State, query: states.Query) -> bool:
+    """Return whether a request failed only by faults of targets, not by load.
+
+    Targets that shed everything are such a fault, too.
+    """
+    faulty = sum(part.reply is None and _is_part_fault(state, part) for part in query.parts)
+    least = max(1, query.route.least_coverage * len(query.parts))
+    return query.answered_parts + faulty >= least
+
+
+def _is_part_fault(state: states.State, part: states.Part) -> bool:
+    if not _FAULT_REASONS.isdisjoint(part.reason.split()):
+        return True
+    return all(
+        target.consecutive_sheds >= MAX_CONSECUTIVE_SHEDS
+        for target in state.pools.get(part.pool, {}).values()
+    )
+
+
 def record_attempt(
     state: states.State, attempt: states.Attempt, outcome: model.Outcome, now: float
 ) -> None:
--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -161,6 +161,8 @@
 
     #: Short name in settings.
     name = ""
+    #: Whether requests are refused when demand exceeds capacity.
+    has_limits = True
 
     @abc.abstractmethod
     def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
@@ -179,6 +181,7 @@
     """Baseline: everything is admitted, in order of arrival."""
 
     name = "arrival"
+    has_limits = False
 
     def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
         return dict.fromkeys(offered, 1.0)
--- a/hyssopproxy/engine/query.py
+++ b/hyssopproxy/engine/query.py
@@ -208,8 +208,10 @@
 
 
 def _wait_end(part: states.Part) -> float:
-    """Return when a waiting part is given up."""
-    return part.waiting_since + MAX_WAIT_FRACTION * part.query.route.objective_s
+    """Return when a waiting part is given up; waits that follow each other count as one."""
+    max_wait_s = MAX_WAIT_FRACTION * part.query.route.objective_s
+    end = part.query.arrived_at + max_wait_s
+    return end if part.waiting_since < end else part.waiting_since + max_wait_s
 
 
 def _give_up(part: states.Part, reason: str) -> None:
--- a/tests/engine/replay.py
+++ b/tests/engine/replay.py
@@ -308,6 +308,27 @@
             self.schedule(self.now + wait_s, self.submit, request)
 
 
+class PlainReplay(Replay):
+    """The same with plain requests to one pool of ten targets."""
+
+    def _make_table(self, kinds: tuple[Kind, ...], fields: dict) -> model.RoutingTable:
+        self.targets.clear()
+        for copy in range(10):
+            self._add_target("p", copy)
+        routes = []
+        for kind in kinds:
+            values = {
+                "name": f"kind-{kind.priority}",
+                "prefix": kind.path[:3],
+                "timeout_s": kind.timeout_s,
+                "objective_s": kind.objective_s,
+                "priority": kind.priority,
+                **fields,
+            }
+            routes.append(worlds.plain_route(**values))
+        return model.RoutingTable(1, tuple(routes), {"p": model.Pool("p")})
+
+
 def silence_quarter(replay: Replay) -> None:
     """A quarter of the targets do not answer, no more than one of each shard."""
     for number, target in enumerate(replay.targets.values()):
--- a/tests/engine/test_admission.py
+++ b/tests/engine/test_admission.py
@@ -49,6 +49,21 @@
     assert not count_refusals(last) and replays.fraction_good(last) > 0.95
 
 
+def test_overload_of_a_pool_is_served_by_priority():
+    """Guards against plain requests that wait in the queues of targets until they are late."""
+    per_s = 10 * replays.SLOTS / replays.SERVICE_S
+    goodput = {}
+    for name in ("arrival", "priority"):
+        replay = replays.PlainReplay(name)
+        replay.send_load(0.35 * per_s, 2.0)
+        replays.silence_quarter(replay)
+        requests = replay.send_load(0.35 * 3.5 * per_s, 4.0)
+        goodput[name] = fraction = replays.fraction_good(requests)
+        urgent, other = (replays.fraction_good(requests, kind) for kind in replay.kinds)
+    assert goodput["priority"] > 2.0 * goodput["arrival"]
+    assert urgent >= other - 0.05 and min(urgent, other) >= 0.25 * fraction
+
+
 def lose_domain(replay):
     replay.partitioned_domain = worlds.DOMAINS[1]
 
