--- a/hyssopproxy/engine/policy.py
+++ b/hyssopproxy/engine/policy.py
@@ -207,6 +207,8 @@
 
     #: Short name in settings.
     name = ""
+    #: Whether requests are refused when demand exceeds capacity.
+    has_limits = True
 
     @abc.abstractmethod
     def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
@@ -225,6 +227,7 @@
     """Baseline: everything is admitted, in order of arrival."""
 
     name = "arrival"
+    has_limits = False
 
     def shares(self, share: float, offered: typing.Mapping[int, float]) -> dict[int, float]:
         return dict.fromkeys(offered, 1.0)
@@ -255,9 +258,12 @@
         shares = {}
         for priority in sorted(offered):
             demand = offered[priority]
-            extra = min(left, demand * (1.0 - reserves[priority]))
-            shares[priority] = reserves[priority] + extra / demand if demand > 0.0 else 1.0
-            left -= extra
+            extra = 1.0 - reserves[priority]
+            if left < demand * extra:
+                extra, left = left / demand, 0.0
+            else:
+                left -= demand * extra
+            shares[priority] = reserves[priority] + extra
         return shares
 
     def rank(self, priority: int) -> int:
