--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -166,6 +166,13 @@
     ask_no: int
 
 
+@attrs.frozen
+class LoadReceived:
+    """Counts of requests arrived from another daemon."""
+
+    message: datagram.Load
+
+
 @attrs.frozen
 class SettingsChanged:
     """The settings file was reloaded."""
--- a/hyssopproxy/engine/health.py
+++ b/hyssopproxy/engine/health.py
@@ -115,6 +115,15 @@
         _raise_slowness(attempt.target, ratio, now)
 
 
+def record_overdue_attempts(state: states.State, now: float, out: list) -> None:
+    """Record overdue and silent attempts against their targets."""
+    for attempt in state.attempts.values():
+        if attempt.hedge_at <= now:
+            if not attempt.is_overdue:
+                record_overdue(state, attempt, now)
+            record_silent(state, attempt, now)
+
+
 def record_silent(state: states.State, attempt: states.Attempt, now: float) -> None:
     """Record a request as silent if it is so late that its target may be unreachable or overloaded.
 
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -7,11 +7,13 @@
 import traceback
 import typing
 
+from hyssopproxy.engine import admission
 from hyssopproxy.engine import answer
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import closing
 from hyssopproxy.engine import effect
 from hyssopproxy.engine import event
+from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import misdirection
 from hyssopproxy.engine import permit
@@ -120,11 +122,12 @@
     membership.handle_tick,
     catalog.handle_tick,
     closing.handle_tick,
-    query.record_overdue_attempts,
+    health.record_overdue_attempts,
     report.handle_tick,
     speed.handle_tick,
     scarcity.handle_tick,
     misdirection.handle_tick,
+    admission.handle_tick,
     reach.handle_tick,
     tenure.handle_tick,
     permit.handle_tick,
--- a/hyssopproxy/engine/placement.py
+++ b/hyssopproxy/engine/placement.py
@@ -227,19 +227,39 @@
     return earliest
 
 
+def has_free_target(state: states.State, pool: str, now: float) -> bool:
+    """Return whether a healthy target of a pool has a slot that this daemon may use now."""
+    return any(
+        _is_healthy(state, target, now)
+        and now >= target.shed_until
+        and len(target.attempts)
+        < min(max(1, target.entry.slots), connection_share(state, target, now))
+        for target in state.pools.get(pool, {}).values()
+    )
+
+
 def has_healthy_target(state: states.State, pool: str, now: float, wait_s: float = 0.0) -> bool:
     """Return whether a pool has a target that is reachable, in service and not backed off.
 
     A closed target counts if its time ends within `wait_s`.
     """
     return any(
+        _is_healthy(state, target, now, wait_s) for target in state.pools.get(pool, {}).values()
+    )
+
+
+def _is_healthy(
+    state: states.State, target: states.Target, now: float, wait_s: float = 0.0
+) -> bool:
+    """Return whether a target is reachable, in service and not backed off."""
+    domain = target.entry.failure_domain
+    return (
         not target.is_misdirected
         and target.removed_at is None
         and target.draining_since is None
         and target.leaving_since is None
         and now + wait_s >= target.closed_until
         and now >= target.backoff_until
-        and target.entry.failure_domain not in state.domain_lost_at
-        and target.entry.failure_domain not in state.evacuated_domains.values()
-        for target in state.pools.get(pool, {}).values()
+        and domain not in state.domain_lost_at
+        and domain not in state.evacuated_domains.values()
     )
--- a/tests/engine/fleet.py
+++ b/tests/engine/fleet.py
@@ -17,6 +17,7 @@
     datagram.Misdirected: event.MisdirectedReceived,
     datagram.LostDomains: event.LostDomainsReceived,
     datagram.Ping: event.PingReceived,
+    datagram.Load: event.LoadReceived,
 }
 
 
