--- a/hyssopproxy/engine/quota.py
+++ b/hyssopproxy/engine/quota.py
@@ -22,8 +22,8 @@
 from hyssopproxy.engine import tenure
 
 ANSWER_TIMEOUT_S = 0.025  # a round trip takes up to 9 ms; the rest is for a busy VM
-# A request waits no longer, whoever answers. It is less than a quarter of callers' objectives of
-# 0.25 s and more; the last silent daemon is noticed 25 ms after it.
+# Longest time until the last daemon is asked; its silence is noticed 25 ms later. The sum is a
+# quarter of an objective of 0.25 s.
 MAX_WAIT_S = 0.036
 MAX_ASKS = 2  # of one daemon for the same requests: in its turn, and when another names it
 UNREACHABLE_S = 0.25  # after everybody has been asked in vain, nobody is asked for this long
