Tests of odd callers count each accepted connection once

The kernel's table of sockets, which is read in pieces, lists a socket twice if the table changes meanwhile. Sockets are now told apart by their inodes; the bound is the same.

--- a/tests/odd_callers.py
+++ b/tests/odd_callers.py
@@ -73,7 +73,8 @@
         with contextlib.suppress(OSError):
             inodes.add(os.readlink(f"/proc/{pid}/fd/{name}"))
     with open(f"/proc/{pid}/net/tcp") as file:
-        rows = [line.split() for line in file][1:]
+        # The kernel lists a socket twice if the table changes while it is read.
+        rows = {row[9]: row for row in (line.split() for line in file)}.values()
     own = [row for row in rows if f"socket:[{row[9]}]" in inodes]
     listening = {row[1].partition(":")[2] for row in own if row[3] == _LISTEN_STATE}
     ports = [row[1].partition(":")[2] for row in own if row[3] != _LISTEN_STATE]
