--- a/review/stage.py
+++ b/review/stage.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -24,6 +25,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit statuses
+MAX_FDS = 4100
 _NET = f"127.{80 + os.getpid() // 250 % 100}.{os.getpid() % 250 + 1}"
 _numbers = itertools.count(1)
 
@@ -47,6 +49,13 @@
         return ports
 
 
+def limit_descriptors():
+    """Set the limit of this process to the `maxFds` of the settings, if the machine allows it."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limit = MAX_FDS if hard == resource.RLIM_INFINITY else min(MAX_FDS, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+
+
 class Record:
     """Writes what happened to `record.txt`, with seconds since the start of the script."""
 
@@ -128,6 +137,7 @@
     """The platform's store: range reads in pages, and watches over a history of events."""
 
     PAGE_ITEMS = 50
+    PAGE_BYTES = 1 << 20
     HISTORY_S = 20.0
 
     def __init__(self):
@@ -140,12 +150,13 @@
         self._watchers = set()
 
     def put(self, key, value):
-        """Write an item; returns once it is acknowledged."""
+        """Write an item; returns once it is acknowledged. Bytes are written as they are."""
+        blob = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
         created = self.items.get(key, {}).get("created", self.revision)
         self.items[key] = {
             "key": key,
-            "value": base64.b64encode(json.dumps(value).encode()).decode(),
+            "value": base64.b64encode(blob).decode(),
             "revision": self.revision,
             "created": created,
             "lease": 0,
@@ -179,7 +190,7 @@
         if url.path == "/v1/kv-range":
             prefix, after = query.get("pathPrefix", ""), query.get("after", "")
             keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-            page = [self.items[key] for key in keys[: self.PAGE_ITEMS]]
+            page = self._take_page(keys)
             value = {"items": page, "morePages": len(keys) > len(page), "asOf": self.revision}
         elif url.path == "/v1/kv-watch":
             after = int(query["after"])
@@ -196,6 +207,17 @@
         await writer.drain()
         return True
 
+    def _take_page(self, keys):
+        """Return the first items, as many as a page holds and at least one."""
+        page = []
+        size = 0
+        for key in keys[: self.PAGE_ITEMS]:
+            size += len(self.items[key]["value"])
+            if page and size > self.PAGE_BYTES:
+                break
+            page.append(self.items[key])
+        return page
+
     async def _watch(self, after, until, writer):
         """Return the events after a revision, or None if some of them are gone."""
         while True:
@@ -303,7 +325,7 @@
             f'[listen]\nfront = "{self.host}:{ports["front"]}"\n'
             f'readinessAddr = "{self.host}:{ports["ready"]}"\n'
             f'control = "{self.host}:{ports["control"]}"\n'
-            "[limits]\ncpuShare = 0.537\ncores = 2\nmemoryMb = 300\nmaxFds = 4100\n"
+            f"[limits]\ncpuShare = 0.537\ncores = 2\nmemoryMb = 300\nmaxFds = {MAX_FDS}\n"
             "linkMbps = 1000.0\ndiskMb = 0\n"
             f"[bounds]\n{bounds}"
             f'[platform]\naddress = "{site.store.address}"\nform = "read"\nreadsPerS = 2000\n'
@@ -372,7 +394,13 @@
 
     def spawn(self, command, environ, log):
         process = subprocess.Popen(
-            command, cwd=ROOT, env=environ, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            command,
+            cwd=ROOT,
+            env=environ,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            preexec_fn=limit_descriptors,
         )
         self._processes.append(process)
         return process
@@ -490,6 +518,7 @@
 
 def run(folder, scenario):
     """Run a scenario with a site and a record, and exit with its status."""
+    limit_descriptors()
     record = Record(folder)
 
     async def play():
