Log: a watch that skips revisions is logged, watches refused for lost history are counted

Cause of this change: the logs showed the removal at the reader and not at its followers. They did not show whether the reader answered the followers without the removal, or whether the followers received and ignored it.

--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -241,6 +241,7 @@
     if read.read_no != sync.read_no:
         return
     source = sync.source
+    _log_gap(read, sync.as_of or 0, source, out)
     for change in read.changes:
         catalog.apply(state, change, now, out)
     sync.as_of = max(sync.as_of or 0, read.as_of)
@@ -251,6 +252,18 @@
         _start_read(state, now, out)
 
 
+def _log_gap(read: event.ChangesRead, after: int, source: str, out: list) -> None:
+    """Log a watch with fewer changes than revisions: some were superseded, or lost on the way."""
+    if len(read.changes) < read.as_of - after:
+        fields = {
+            "source": source,
+            "after": after,
+            "as_of": read.as_of,
+            "changes": len(read.changes),
+        }
+        out.append(effect.Log("changes_skipped", fields))
+
+
 def _record_success(
     state: states.State, age_s: float, has_changes: bool, now: float, out: list
 ) -> None:
--- a/hyssopproxy/platform/operator.py
+++ b/hyssopproxy/platform/operator.py
@@ -61,6 +61,7 @@
             **state.counters,
             **runtime.ingress.counters,
             "buffers_dropped": runtime.account.drops,
+            "compacted_watches": runtime.cache_handler.compacted_watches,
             "connections_refused": runtime.front.refused,
             "log_lines_suppressed": runtime.logger.suppressed,
             "log_lines_dropped": runtime.logger.dropped,
--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -278,6 +278,7 @@
         self._may_serve = may_serve
         self._read_age_s = read_age_s
         self._watches: dict[server.Connection, int] = {}  # last revision seen, by connection
+        self.compacted_watches = 0  # watches answered that the changes are no longer available
 
     def handle(self, request: message.Request, connection: server.Connection) -> None:
         parts = urllib.parse.urlsplit(request.target.decode("latin-1"))
@@ -304,6 +305,7 @@
         if not self._may_serve():
             connection.reply(message.Response(503, [], b"the data may be out of date"))
         elif after < self._cache.compacted_revision:
+            self.compacted_watches += 1
             connection.reply(message.Response(410, []))
         elif (events := self._cache.changes_since(after)).events:
             self._reply(connection, events)
--- a/tests/engine/test_sync.py
+++ b/tests/engine/test_sync.py
@@ -165,3 +165,18 @@
     assert sync.find_reader(world.state, world.now) == "10.9.0.17"
     del world.state.members["10.9.0.17"]
     assert sync.find_reader(world.state, world.now) in world.state.members
+
+
+def test_watch_with_fewer_changes_than_revisions_is_logged():
+    """Guards against a daemon that loses changes, and whose log does not show in which read."""
+    world = worlds.make_plain_world(seconds=0.5)
+    after = world.state.sync.as_of
+    change = model.Change("targets/p-0", after + 1, None)
+    world.post(event.ChangesRead(world.state.sync.read_no, (change,), after + 1))
+    world.run(0.5)
+    world.post(event.ChangesRead(world.state.sync.read_no, (), after + 3))
+    logs = [log for log in world.effects if isinstance(log, effect.Log)]
+    lines = [log.fields for log in logs if log.name == "changes_skipped"]
+    assert [(line["after"], line["as_of"], line["changes"]) for line in lines] == [
+        (after + 1, after + 3, 0)
+    ]
