Emulated store: a waiting watch skips no change when the history is dropped

Cause: `_watch` compared its revision with the oldest one only on arrival. A watch that waited while a change was written and the history dropped got no events and the new asOf, so a daemon under test could miss a change that the platform's store does not hide. Change: the comparison is repeated before the answer; the watch gets 410.

--- a/hyssopproxy/emulator/store.py
+++ b/hyssopproxy/emulator/store.py
@@ -110,6 +110,9 @@
                 pass  # a watch without changes ends with an empty response
         if self.fault == "silent":
             return
+        if after + 1 < self.oldest_revision:  # the history was dropped meanwhile
+            connection.reply(message.Response(410, []))
+            return
         events = [item for item in self.events if item["revision"] > after]
         self._reply(connection, "events", {"events": events, "asOf": self.revision})
 
