Followers list anew when their source lost the removals that they wait for

Cause: a daemon that lists after a loss of history drops what is not listed, keeps no tombstones and raises `compacted_revision`. That revision was compared with a watch only on its arrival. A watch that was already waiting was answered with the changes that were left and the new asOf, and the follower continued from there. The same happened to a watch that waited while more than MAX_TOMBSTONES removals arrived. Entries, evacuations that were taken back and any other removed item were affected; written items were not. Ruled out: an answer of 410 that was followed by an incomplete listing (no line `history_dropped` at a follower), a removal that was received and ignored (`changes_skipped` has 0 changes). Change: `_find_refusal` decides before each answer, on arrival and at the end of the wait. 410 makes the follower list the items of its source, which removes what it lacks. Why not tombstones for what a listing lacks: an item that was written and removed since the source's last read would still be missing, and a follower may know it from a page of another listing.

--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -302,11 +302,8 @@
         self._watches.pop(connection, None)
 
     def _handle_watch(self, after: int, wait_s: float, connection: server.Connection) -> None:
-        if not self._may_serve():
-            connection.reply(message.Response(503, [], b"the data may be out of date"))
-        elif after < self._cache.compacted_revision:
-            self.compacted_watches += 1
-            connection.reply(message.Response(410, []))
+        if (refusal := self._find_refusal(after)) is not None:
+            connection.reply(refusal)
         elif (events := self._cache.changes_since(after)).events:
             self._reply(connection, events)
         else:
@@ -314,6 +311,18 @@
             loop = asyncio.get_running_loop()
             loop.call_later(wait_s, self._end_watch, connection, after)
 
+    def _find_refusal(self, after: int) -> message.Response | None:
+        """Return the refusal of a watch, or None if the cache has all changes after its revision.
+
+        The cache may lose removals while a watch waits, so this is checked before each answer.
+        """
+        if not self._may_serve():
+            return message.Response(503, [], b"the data may be out of date")
+        if after < self._cache.compacted_revision:
+            self.compacted_watches += 1
+            return message.Response(410, [])
+        return None
+
     def answer_watches(self) -> None:
         """Answer all pending watches, with the changes or the age of the data or a refusal."""
         for connection, after in list(self._watches.items()):
@@ -322,8 +331,8 @@
     def _end_watch(self, connection: server.Connection, after: int) -> None:
         if self._watches.get(connection) == after:
             del self._watches[connection]
-            if not self._may_serve():
-                connection.reply(message.Response(503, [], b"the data may be out of date"))
+            if (refusal := self._find_refusal(after)) is not None:
+                connection.reply(refusal)
             else:
                 self._reply(connection, self._cache.changes_since(after))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -151,6 +151,56 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("loss", ["listing", "tombstones"])
+def test_pending_watch_is_rejected_when_removals_since_its_revision_are_lost(loss):
+    """Guards against followers that use removed targets after a loss of the store's history.
+
+    A watch that waited while its source listed the store was answered without the removals.
+    """
+
+    async def run():
+        cache = store.ItemCache()
+        handler, _ = make_handler(cache)
+        cache.update([make_item("a", 5), make_item("b", 6)], 6)
+        pending = watch(handler, 6)
+        if loss == "listing":
+            cache.update([make_item("b", 6)])
+            cache.remove_unlisted({"b"}, 7)
+        else:
+            removals = [make_item(f"k{number}", number, None) for number in range(8, 700)]
+            cache.update([make_item("a", 7, None), *removals], 700)
+        handler.answer_watches()
+        assert pending.statuses == [410]
+        assert watch(handler, 6).statuses == [410]
+        assert handler.compacted_watches == 2
+
+    asyncio.run(run())
+
+
+def test_all_daemons_learn_of_removals_right_before_a_loss_of_history():
+    """Guards against followers that keep what only the reader found missing in the store."""
+
+    async def scenario(site):
+        def is_logged(daemon, event):
+            return any(line["event"] == event for line in daemon.log)
+
+        async def wait_for_all(event):
+            for daemon in site.daemons:
+                await sites.wait_for(lambda daemon=daemon: is_logged(daemon, event), event)
+
+        evacuation = "op/evacuate/unused"
+        site.store.put(evacuation, b"{}")
+        await wait_for_all("domain_out")
+        name = next(name for name in site.leaves if name.startswith("i-p-"))
+        site.store.remove(f"servers/{name}")
+        site.store.remove(evacuation)
+        site.store.compact()
+        await wait_for_all("target_gone")
+        await wait_for_all("domain_back")
+
+    sites.run_scenario(scenario, daemons=6)
+
+
 def test_pending_watch_is_rejected_when_data_become_stale():
     """Guards against late changes when only the reader gets no response from the store.
 
