Emulated store: a page holds at most 1 MB, as the platform's pages do

Cause: a listing was paged by its number of items alone. With the odd items of test_daemons_follow_and_serve_with_odd_items_in_the_store a page had 31.8 MB, over the daemon's limit of 16 MB for a response. Change: a page ends before the item that would take it beyond 1 MB, and has at least one item. No check was changed.

--- a/hyssopproxy/emulator/store.py
+++ b/hyssopproxy/emulator/store.py
@@ -10,6 +10,8 @@
 from hyssopproxy.transport import message
 from hyssopproxy.transport import server
 
+PAGE_BYTES = 1 << 20  # of encoded items; a page holds at least one
+
 
 class Store(server.Handler):
     """Store of items with revisions, range reads and watches."""
@@ -92,8 +94,14 @@
 
     def _range(self, after: str) -> dict:
         keys = sorted(key for key in self.items if key > after)
-        page_items = [self.items[key] for key in keys[: self.page_items]]
-        has_more = len(keys) > self.page_items
+        page_items = []
+        page_bytes = 0
+        for key in keys[: self.page_items]:
+            page_bytes += len(self._encode(self.items[key]))
+            if page_items and page_bytes > PAGE_BYTES:
+                break
+            page_items.append(self.items[key])
+        has_more = len(keys) > len(page_items)
         return {"items": page_items, "morePages": has_more, "asOf": self.revision}
 
     async def _watch(self, query: dict, connection: server.Connection) -> None:
@@ -116,10 +124,10 @@
         events = [item for item in self.events if item["revision"] > after]
         self._reply(connection, "events", {"events": events, "asOf": self.revision})
 
+    def _encode(self, item: dict) -> bytes:
+        return self.encoded_items.get(item["revision"]) or msgspec.json.encode(item)
+
     def _reply(self, connection: server.Connection, field: str, value: dict) -> None:
-        items = [
-            msgspec.Raw(self.encoded_items.get(item["revision"]) or msgspec.json.encode(item))
-            for item in value[field]
-        ]
+        items = [msgspec.Raw(self._encode(item)) for item in value[field]]
         body = msgspec.json.encode({**value, field: items})
         connection.reply(message.Response(200, [], body))
--- a/tests/emulator/test_store.py
+++ b/tests/emulator/test_store.py
@@ -29,3 +29,15 @@
         assert connection.statuses == [410]
 
     asyncio.run(run())
+
+
+def test_page_holds_no_more_bytes_than_a_page_of_the_platform():
+    """Guards against listings that fail in tests alone, as one page exceeds the daemon's limit."""
+    emulated = store.Store()
+    for number in range(5):
+        emulated.put(f"k{number}", b"x" * (400 << 10))
+    first = emulated._range("")
+    assert [item["key"] for item in first["items"]] == ["k0"] and first["morePages"]
+    emulated.put("k0", b"x")
+    assert len(emulated._range("")["items"]) == 2
+    assert not emulated._range("k3")["morePages"]
