Daemons do not serve removed items again after listing a daemon that is behind

What callers would see: requests at removed targets, from daemons that start and list a follower. Cause: a listing at the loss of history leaves no tombstones, and `ItemCache.update` took any unknown item of a page, also one that is older than what the cache is complete up to. The engine ignores such an item, so the daemon's own routing was right, but it served the item to others, for which it is new. Change: an unknown item that is not newer than the complete cache is left out, as in the engine. Result: the new test failed before (the cache has a, b and c instead of b).

--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -50,13 +50,17 @@
     def update(self, items: typing.Iterable[document.Item], as_of: int | None = None) -> None:
         """Store items and tombstones; ignore those not newer than the cached revision.
 
-        `as_of` is None for a page of a listing, which is not complete by itself.
+        An unknown item that is not newer than the whole cache has been removed since; its source
+        has missed the removal. `as_of` is None for a page of a listing, which is not complete by
+        itself.
         """
+        complete_revision = self.as_of
         if as_of is not None:
             self.as_of = max(self.as_of, as_of)
         for item in items:
             cached = self.items.get(item.key) or self.tombstones.get(item.key)
-            if cached is not None and cached.revision >= item.revision:
+            known_revision = complete_revision if cached is None else cached.revision
+            if item.revision <= known_revision:
                 continue
             if item.removed or item.value is None:
                 self.items.pop(item.key, None)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -58,6 +58,20 @@
     assert cache.compacted_revision == 800
 
 
+def test_removed_item_does_not_return_from_a_source_that_missed_its_removal():
+    """Guards against followers that get removed targets from a daemon that listed an older copy."""
+    cache = store.ItemCache()
+    cache.update([make_item("a", 5), make_item("b", 6)], 6)
+    cache.update([make_item("b", 6)])
+    cache.remove_unlisted({"b"}, 9)
+    cache.update([make_item("a", 5), make_item("b", 6), make_item("c", 8)])
+    cache.remove_unlisted({"a", "b", "c"}, 8)
+    assert [item.key for item in cache.page_after("").items] == ["b"]
+    assert cache.as_of == 9
+    cache.update([make_item("a", 10)], 10)
+    assert [item.key for item in cache.page_after("").items] == ["a", "b"]
+
+
 def test_pages_are_sorted_by_key():
     cache = store.ItemCache()
     cache.update([make_item(f"k{number:04}", number + 1) for number in range(900)], 900)
