A late page of an abandoned listing does not remove items from the cache

What callers would see: followers without targets that exist. Cause: a daemon gives up a listing of a slow store when a peer has newer data, and lists the peer. `StoreClient` keeps the keys of one listing. A page of the abandoned one that came between two pages of the other replaced them, and at the end the cache dropped items that were listed. The engine ignores the late page, so only followers of the daemon were affected. Change: the response to a read older than the newest one is not applied.

--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -120,6 +120,7 @@
         self._limits = limits
         self._account = account
         self._idle: dict[str, client.Connection] = {}
+        self._newest_read_no = 0
         self._listed_keys: set[str] = set()
         self._listed_as_of: int | None = None
 
@@ -167,10 +168,12 @@
     ) -> tuple[typing.Any, float] | None:
         """Return the decoded body of a 200 response and the age of its data in seconds.
 
-        Return None after posting a failure.
+        Return None after posting a failure, and for a read that the engine has abandoned for a
+        newer one: its late page would mix two listings.
         """
+        self._newest_read_no = max(self._newest_read_no, read.read_no)
         response = await self._call(read, path)
-        if response is None:
+        if response is None or read.read_no < self._newest_read_no:
             return None
         try:
             body = decompress(response, self._limits.body_bytes)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -389,3 +389,60 @@
         store.decompress(response, (1 << 20) - 1)
     with pytest.raises(zlib.error):
         store.decompress(message.Response(200, response.headers, body[:-6]))
+
+
+def test_late_page_of_an_abandoned_listing_does_not_remove_items():
+    """Guards against followers without targets that their source dropped by mistake.
+
+    A slow store answered the first page of a listing after a peer had answered the first of two.
+    """
+    items = [make_item(f"k{number}", number + 1) for number in range(4)]
+    pages = {
+        "store": [document.Page(tuple(items[:1]), 4, True)],
+        "peer": [document.Page(tuple(items[:3]), 4, True), document.Page(tuple(items[3:]), 4)],
+    }
+
+    async def run():
+        may_answer = {name: asyncio.Event() for name in pages}
+
+        async def serve(name):
+            async def handle(reader, writer):
+                try:
+                    for page in pages[name]:
+                        await reader.readuntil(b"\r\n\r\n")
+                        await may_answer[name].wait()
+                        body = msgspec.json.encode(page)
+                        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                        writer.write(head + body)
+                except asyncio.IncompleteReadError:
+                    pass  # the client has closed the connection
+                finally:
+                    writer.close()
+
+            server = await asyncio.start_server(handle, "127.0.0.1", 0)
+            servers.append(server)
+            return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+        servers = []
+        limits = limit.BufferLimits()
+        account = buffer.Account(limits.total_bytes)
+        cache = store.ItemCache()
+        client = store.StoreClient(lambda posted: None, cache, limits.store, account)
+
+        def start_read(read_no, source, after, is_store=False):
+            read = effect.ReadPage(read_no, source, is_store, after, sites.WAIT_S)
+            return asyncio.create_task(client.read_page(read))
+
+        store_address, peer_address = await serve("store"), await serve("peer")
+        abandoned = start_read(1, store_address, None, is_store=True)
+        await asyncio.sleep(0)
+        may_answer["peer"].set()
+        await start_read(2, peer_address, None)
+        may_answer["store"].set()
+        await abandoned
+        await start_read(3, peer_address, "k2")
+        for server in servers:
+            server.close()
+        return [item.key for item in cache.page_after("").items]
+
+    assert asyncio.run(run()) == ["k0", "k1", "k2", "k3"]
