hyssopproxyd: a target's status out of range is no outcome of an action

What callers saw: a target that answers an action with status 000 (or 099, 101, 600, 999) and echoes the key; the caller got that status as its answer. Cause: the HTTP library takes any three digits, and `_act` passed the status on. In the outcomes of keys 0 stands for an action that runs, so after 000 a repeated key would also have waited for good (read, not run). Change: a status outside 200 to 599 is a garbled reply. The outcome of the action is unknown, and the caller is told so.

--- a/hyssopproxy/targetclient.py
+++ b/hyssopproxy/targetclient.py
@@ -15,6 +15,7 @@
 
 Post = typing.Callable[[typing.Any], None]
 LOCAL_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS, errno.EADDRNOTAVAIL)
+FINAL_STATUSES = range(200, 600)  # status codes of a final response (RFC 9110, section 15)
 CONTROL_TIMEOUT_S = 1.0  # for cancel requests and status probes
 TARGET_STATE_HEADER = "Target-State"
 
@@ -116,7 +117,9 @@
             ended = [events.ActionEnded(effect.action_no, failure)]
         self.post(ended[0])
 
-    async def _act(self, effect: effects.SendAction, ended: list[events.ActionEnded]) -> None:
+    async def _act(
+        self, effect: effects.SendAction, ended: list[events.ActionEnded]
+    ) -> events.Failure | None:
         async with self._action_session.post(
             f"http://{effect.address}/v1/actions",
             data=msgspec.json.encode(effect.body),
@@ -124,6 +127,8 @@
             timeout=aiohttp.ClientTimeout(total=effect.timeout_s),
             trace_request_ctx=effect.not_after,
         ) as response:
+            if response.status not in FINAL_STATUSES:
+                return events.Failure.GARBLED
             body = await payload.read(response)
             if response.headers.get("Idempotency-Key") != effect.key:
                 raise aiohttp.ClientPayloadError("the reply has a different Idempotency-Key")
@@ -137,6 +142,7 @@
                     target_state=parse_target_state(response.headers.get(TARGET_STATE_HEADER)),
                 )
             )
+            return None
 
     async def cancel(self, effect: effects.SendCancel) -> None:
         """Send one cancel request at a time to a target; items added meanwhile go into the next."""
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -79,3 +79,28 @@
         await client.close()
 
     assert run_against(name, scenario) == []
+
+
+@pytest.mark.parametrize("line", ["000 -", "099 Odd", "101 Odd", "600 Odd", "999 Odd"])
+def test_status_out_of_range_is_no_outcome_of_an_action(line):
+    """Guards against callers that get status 000 as an answer; it also stands for a running one."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 {line}\r\nContent-Length: 2\r\n".encode()
+        writer.write(head + HEADERS + b"\r\nok")
+        writer.close()
+
+    async def run():
+        posted = []
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = targetclient.HttpTargetClient(posted.append)
+        now = asyncio.get_running_loop().time()
+        await client.act(effect.SendAction(1, address, "k", {}, now + 9.0, TIMEOUT_S))
+        await client.close()
+        server.close()
+        return posted
+
+    (ended,) = asyncio.run(run())
+    assert ended.failure is event.Failure.GARBLED and not ended.failure.is_not_run
