An answer with a status out of range ends the attempt at once

A status of 600 to 999 was delivered as it was. Cause: the parser takes any three digits, and `Connection._complete` skipped all below 200. Change: a status outside 100 to 599 fails the exchange as garbled when the head is complete, before its headers are taken for statements of the target. The attempt is retried where the route allows it, and is answered 502 otherwise, which promises nothing of the execution.

--- a/hyssopproxy/emulator/replica.py
+++ b/hyssopproxy/emulator/replica.py
@@ -43,8 +43,9 @@
     extra (a stale response precedes the valid one), unframed (no Content-Length), unsigned (no
     Server-Stamp), cut (the response ends after `cut_bytes`), copy (a second copy of the response
     follows with the next request, or the one after it if `copy_delay` is 1), copy_shed (every other
-    request is shed, and its response follows again with the next one), trickle, endless_after, or a
-    name of `endless.RESPONSES` or `endless.ANSWERS`.
+    request is shed, and its response follows again with the next one), status_000 (or other three
+    digits; the response has that status), trickle, endless_after, or a name of `endless.RESPONSES`
+    or `endless.ANSWERS`.
     """
 
     def __init__(self, name: str, records: typing.Sequence[bytes] = ()) -> None:
@@ -209,6 +210,11 @@
             writer.write(_encode_response(200, stale, b"stale answer 123"))
         if self.fault == "unsigned":
             headers = headers[1:]
+        if self.fault.startswith("status_"):
+            _, _, digits = self.fault.partition("_")
+            response = _encode_response(200, headers, body)
+            writer.write(response.replace(b"200", digits.encode(), 1))
+            return True
         return await self._send_response(
             writer, 500 if self.fault == "error" else 200, headers, body
         )
--- a/hyssopproxy/platform/leaf.py
+++ b/hyssopproxy/platform/leaf.py
@@ -64,10 +64,9 @@
         self._names_requests = False
         self._unnamed_stamps: set[bytes] = set()  # of the responses that name no request
 
-    def on_headers_complete(self) -> None:
+    def handle_head(self, status: int, headers: message.Headers) -> None:
         if self._report is not None:
-            self._report(self._parser.get_status_code(), self._headers)
-        super().on_headers_complete()
+            self._report(status, headers)
 
     def skip(self, data: bytes) -> None:
         """Read the head of a late response, after which the connection is closed."""
--- a/hyssopproxy/transport/client.py
+++ b/hyssopproxy/transport/client.py
@@ -19,6 +19,7 @@
 from hyssopproxy.transport import message
 
 DEFAULT_IDLE_S = 8.0  # idle timeout assumed when the server's Keep-Alive header states none
+STATUSES = range(100, 600)  # valid status codes (RFC 9110, section 15); the parser takes any
 MAX_OVERHEAD_FRACTION = 0.5  # of a body, for the framing of its chunks
 MAX_SKIPPED = 8  # responses to earlier requests that are dropped while a request is in flight
 MAX_IDLE_S = 3600.0
@@ -115,6 +116,9 @@
     def skip(self, data: bytes) -> None:
         """Handle bytes that belong to no request; the connection is closed afterwards."""
 
+    def handle_head(self, status: int, headers: message.Headers) -> None:
+        """Handle the complete head of a response, whichever request it belongs to."""
+
     def drop_buffer(self) -> None:
         """End the exchange because all connections together buffer too much."""
         self._must_close = True
@@ -194,8 +198,12 @@
             self._headers.append((name, value.rstrip(b" \t")))  # the parser keeps trailing space
 
     def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status not in STATUSES:
+            raise ValueError(f"invalid status {status}")
         self._has_headers = True
-        if not self._has_response_body and self._parser.get_status_code() >= 200:
+        self.handle_head(status, self._headers)
+        if not self._has_response_body and status >= 200:
             self._must_close = True  # the parser waits for a body that does not follow
             self._complete()
 
--- a/tests/platform/test_faulty_leaf.py
+++ b/tests/platform/test_faulty_leaf.py
@@ -135,6 +135,31 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+def test_answer_with_a_status_out_of_range_is_not_delivered(status):
+    """Guards against callers that get status 000 as an answer, or nothing until their deadline."""
+
+    async def scenario(site):
+        daemon = site.daemons[0]
+        faulty = leaves_of(site, "p")
+        for leaf in [*faulty, leaves_of(site, "s0")[0]]:
+            leaf.fault = f"status_{status}"
+        reply = await site.get(daemon, "/p/x", 20000)
+        assert reply.status == 502 and not reply.get_header(b"server-stamp")
+        assert sum(len(leaf.runs) for leaf in faulty) >= 1
+        for _ in range(6):
+            assert (await site.get(daemon, "/s/x", 20000)).status == 200
+        assert {line["reason"] for line in answer_lines(daemon)} == {"garbled"}
+        faulty[1].fault = ""
+
+        async def is_served():
+            return (await site.get(daemon, "/p/x", 20000)).status == 200
+
+        await sites.wait_for(is_served, "an answer of the sound leaf")
+
+    sites.run_scenario(scenario, timeoutMs=3000)
+
+
 def test_response_of_one_byte_a_second_ends_at_the_route_timeout():
     async def scenario(site):
         for leaf in leaves_of(site, "p"):
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -212,6 +212,21 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("line", ["000 -", "000", "099 Odd", "600 Odd", "999 Odd"])
+@pytest.mark.parametrize("fields", [{}, {"has_response_body": False}])
+def test_response_with_a_status_out_of_range_ends_the_exchange(line, fields):
+    """Guards against callers that get status 000 as an answer, or wait for a second response."""
+
+    async def respond(writer):
+        head = f"HTTP/1.1 {line}\r\nContent-Length: 2\r\n".encode()
+        writer.write(head + STAMP + b"\r\n" + b"ok" * fields.get("has_response_body", True))
+        return True  # the connection stays open
+
+    result, connection = asyncio.run(exchange(respond, **fields))
+    assert result is client.Failure.GARBLED
+    assert not connection.is_open()
+
+
 def test_response_to_head_request_has_no_body():
     async def respond(writer):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
