Soak: an entry is removed right before a loss of history

Cause: the soak lost the store's history and removed entries, but each entry came back within a second, so that a daemon that missed a removal was not seen. Change: after the recovery one entry is removed and the history dropped; requests to its leaf must end within the time of a recovery, while callers go on.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,13 +19,14 @@
 LEAVES_PER_POOL = 3
 REQUEST_INTERVAL_S = 0.01  # pause between two requests of a caller
 RECOVERY_TIMEOUT_S = 12.0  # time from the last fault until every daemon must serve again
+QUIET_S = 1.0  # callers send hundreds of requests in this time
 LEAF_FAULTS = ("shed", "error", "reset", "truncate", "garbage", "extra", "unframed", "silent")
 DRAIN_MS = 1000  # shorter than in operation, so that it ends while faults are injected
 LINK_FAULTS = ("reset", "cut", "stall_up", "stall_down", "delay")
 
 
 class SoakRun:
-    """Run of one seed: load, faults, recovery and checks."""
+    """Run of one seed: load, faults, recovery, a removal and checks."""
 
     def __init__(self, site: sites.Site, rng: random.Random, seconds: float) -> None:
         self._site = site
@@ -44,6 +45,7 @@
         fault_tasks.append(asyncio.create_task(self._inject_statements()))
         await asyncio.gather(*fault_tasks)
         await self._check_recovery()
+        await self._check_removal()
         stop.set()
         await asyncio.gather(*callers)
         self._ledger.check_runs()
@@ -282,6 +284,24 @@
                     return
                 await asyncio.sleep(0.1)
 
+    async def _check_removal(self) -> None:
+        """Remove an entry right before a loss of history; requests to its leaf must end."""
+        name = next(iter(self._site.leaves))
+        leaf = self._site.leaves[name]
+        self._record_fault(f"remove {name} and compact")
+        self._site.store.remove(f"servers/{name}")
+        self._site.store.compact()
+        deadline = time.monotonic() + RECOVERY_TIMEOUT_S
+        arrivals = -1
+        while len(leaf.arrivals) > arrivals:
+            if time.monotonic() > deadline:
+                self._ledger.add_violation(
+                    f"{name}: gets requests {RECOVERY_TIMEOUT_S} s after its entry was removed"
+                )
+                return
+            arrivals = len(leaf.arrivals)
+            await asyncio.sleep(QUIET_S)
+
     async def _is_serving(self, daemon: sites.Daemon) -> bool:
         for target in ("/s/x", "/p/x"):
             with contextlib.suppress(OSError, TimeoutError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
     1,
     2,
     100,  # SIGHUP during the start ended the process
+    7003,  # followers missed a removal right before a loss of the store's history
 )
 
 
