--- a/review/standins3/leaf.py
+++ b/review/standins3/leaf.py
@@ -45,6 +45,8 @@
         self.address = ""
         self.has_crashed = False
         self.lost: list[str] = []  # requests that were accepted and lost in a crash
+        self.is_draining = False
+        self.reaches_store = True
         self._record = record
         self._store = store
         self._in_progress: dict[str, None] = {}
@@ -79,15 +81,32 @@
         self.cold_until = time.monotonic() + seconds
         self.write_entry()
 
+    def drain(self) -> None:
+        """Report that this leaf is draining; it serves what it still gets."""
+        self.is_draining = True
+        self.write_entry()
+
+    def leave(self) -> None:
+        """End for good; the entry is removed if the store is reached."""
+        self.crash()
+        if self.reaches_store:
+            revision = self._store.remove(f"servers/{self.id}")
+            self._record(f"leaf {self.id} has left, entry removed at revision {revision}")
+
     def is_cold(self) -> bool:
         """Return whether the leaf is cold now."""
         return time.monotonic() < self.cold_until
 
     def write_entry(self) -> None:
         """Write the entry if it has changed, or if the store has lost it or has an older one."""
-        if self._store.is_away:
+        if self._store.is_away or not self.reaches_store:
             return
-        is_changed = self._written is None or bool(self._written["warmupLeftMs"]) != self.is_cold()
+        state = "draining" if self.is_draining else "ready"
+        content = (state, self.is_cold())
+        is_changed = self._written is None or content != (
+            self._written["state"],
+            bool(self._written["warmupLeftMs"]),
+        )
         if not is_changed and self._store.read(f"servers/{self.id}") == self._written:
             return
         self._sequence += 1
@@ -97,7 +116,7 @@
             "zone": self.zone,
             "version": "v1",
             "maxConcurrency": self.slots,
-            "state": "ready",
+            "state": state,
             "warmupLeftMs": self._cold_left_ms(),
             "sequence": self._sequence,
             "born": self._born,
@@ -118,15 +137,18 @@
             headers = {"Instance-Id": self.id}
             if self.is_cold():
                 headers["Warmup-Remaining"] = str(self._cold_left_ms())
-            return http.Response(200, headers)
+            return http.Response(503 if self.is_draining else 200, headers)
         request_id = request.headers.get("request-id", "")
+        stated = {"Request-Id": request_id}
+        if self.is_draining:
+            stated["Server-Leaving"] = "1"
         if request.headers.get("expected-instance", self.id) != self.id:
-            return http.Response(421, {"Request-Id": request_id, "Instance-Id": self.id})
+            return http.Response(421, {**stated, "Instance-Id": self.id})
         is_full = len(self._in_progress) >= self.max_requests
         arrival = Arrival(time.monotonic(), request_id, not is_full, self.is_cold())
         self.arrivals.append(arrival)
         if is_full:
-            return http.Response(503, {"Request-Id": request_id, "Not-Executed": "1"})
+            return http.Response(503, {**stated, "Not-Executed": "1"})
         self._in_progress[request_id] = None
         if self.on_arrival is not None:
             self.on_arrival(arrival)
@@ -137,5 +159,7 @@
             self._in_progress.pop(request_id, None)
         if self.has_crashed:
             return None
-        headers = {"Request-Id": request_id, "Server-Stamp": f"{self.id}.{request_id}"}
+        if self.is_draining:
+            stated["Server-Leaving"] = "1"
+        headers = {**stated, "Server-Stamp": f"{self.id}.{request_id}"}
         return http.Response(200, headers, f"{self.backend} {self.id}".encode())
