--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -24,6 +25,7 @@
 DAEMON_COMMAND = ("python3", "-S", "start.py")
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2  # exit statuses of a script
 START_TIMEOUT_S = 25.0
+MAX_FDS = 4100
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -46,6 +48,10 @@
 }
 
 
+def _limit_descriptors() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+
+
 class Record:
     """Writes what happened, with seconds since the start, to record.txt beside the script."""
 
@@ -116,6 +122,11 @@
         """Return a loopback address that this deployment does not use yet."""
         return f"{self._prefix}.{next(self._hosts)}"
 
+    @property
+    def front_port(self) -> int:
+        """Port of the clients' connections, the same at each daemon."""
+        return self._ports["front"]
+
     def _choose_ports(self) -> dict[str, int]:
         names = ("front", "ready", "control", "metrics", "peer")
         with contextlib.ExitStack() as stack:
@@ -190,7 +201,7 @@
             f'control = "{daemon.host}:{ports["control"]}"',
             "[limits]",
             "memoryMb = 300",
-            "maxFds = 4100",
+            f"maxFds = {MAX_FDS}",
             "linkMbps = 1000.0",
             "[bounds]",
             *(f"{name} = {value}" for name, value in BOUNDS.items()),
@@ -211,7 +222,12 @@
         log = open(self._directory / f"{daemon.name}.log", "ab")
         self._logs.append(log)
         daemon.process = await asyncio.create_subprocess_exec(
-            *DAEMON_COMMAND, cwd=REPOSITORY, env=environ, stdout=log, stderr=log
+            *DAEMON_COMMAND,
+            cwd=REPOSITORY,
+            env=environ,
+            stdout=log,
+            stderr=log,
+            preexec_fn=_limit_descriptors,
         )
 
     async def wait_ready(self, daemon: Daemon) -> None:
@@ -294,6 +310,24 @@
             revision = self.store.put(key, value)
             self.record.write(f"operator: {key} written again at revision {revision}")
 
+    async def read_metric(self, daemon: Daemon, name: str) -> float:
+        """Return a counter from a daemon's metrics page."""
+        data = http.encode_request("GET", "/metrics", {"Host": "metrics"})
+        response = await http.exchange(daemon.host, self._ports["metrics"], data, 10.0)
+        for line in response.body.decode().splitlines():
+            if line.startswith(f"{name} "):
+                return float(line.split(" ")[1])
+        raise RuntimeError(f"{daemon.name} has no metric {name}")
+
+    @staticmethod
+    def allow_connections(count: int) -> None:
+        """Let this process open so many connections, or raise RuntimeError."""
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        needed = count + 1000
+        if hard != resource.RLIM_INFINITY and hard < needed:
+            raise RuntimeError(f"the hard limit of descriptors is {hard}, needed are {needed}")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
+
     async def open_client(self, daemon: Daemon) -> "Client":
         """Return a client with an open connection to a daemon."""
         return Client(self, daemon, *await self.connect(daemon))
