--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -26,6 +26,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2  # exit statuses of a script
 START_TIMEOUT_S = 25.0
 MAX_FDS = 4100
+CROWD_PROCESSES = 2
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -117,16 +118,12 @@
         self._hosts = itertools.count(1)
         self._ports = self._choose_ports()
         self._logs: list[typing.IO] = []
+        self._crowds: list[asyncio.subprocess.Process] = []
 
     def new_host(self) -> str:
         """Return a loopback address that this deployment does not use yet."""
         return f"{self._prefix}.{next(self._hosts)}"
 
-    @property
-    def front_port(self) -> int:
-        """Port of the clients' connections, the same at each daemon."""
-        return self._ports["front"]
-
     def _choose_ports(self) -> dict[str, int]:
         names = ("front", "ready", "control", "metrics", "peer")
         with contextlib.ExitStack() as stack:
@@ -310,23 +307,15 @@
             revision = self.store.put(key, value)
             self.record.write(f"operator: {key} written again at revision {revision}")
 
-    async def read_metric(self, daemon: Daemon, name: str) -> float:
-        """Return a counter from a daemon's metrics page."""
-        data = http.encode_request("GET", "/metrics", {"Host": "metrics"})
-        response = await http.exchange(daemon.host, self._ports["metrics"], data, 10.0)
-        for line in response.body.decode().splitlines():
-            if line.startswith(f"{name} "):
-                return float(line.split(" ")[1])
-        raise RuntimeError(f"{daemon.name} has no metric {name}")
-
-    @staticmethod
-    def allow_connections(count: int) -> None:
-        """Let this process open so many connections, or raise RuntimeError."""
-        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        needed = count + 1000
-        if hard != resource.RLIM_INFINITY and hard < needed:
-            raise RuntimeError(f"the hard limit of descriptors is {hard}, needed are {needed}")
-        resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
+    async def start_crowd(self, daemon: Daemon, count: int) -> None:
+        """Start clients that nobody controls, in processes of their own."""
+        for _ in range(CROWD_PROCESSES):
+            arguments = (daemon.host, str(self._ports["front"]), str(count // CROWD_PROCESSES))
+            process = await asyncio.create_subprocess_exec(
+                "python3", "-m", "review.standins3.crowd", *arguments, cwd=REPOSITORY
+            )
+            self._crowds.append(process)
+        self.record.write(f"a crowd of {count} connections comes to {daemon.name}")
 
     async def open_client(self, daemon: Daemon) -> "Client":
         """Return a client with an open connection to a daemon."""
@@ -352,6 +341,10 @@
         for daemon in self.daemons:
             if daemon.process is not None:
                 await daemon.process.wait()
+        for crowd in self._crowds:
+            if crowd.returncode is None:
+                crowd.kill()
+            await crowd.wait()
         for leaf in self.leaves:
             leaf.stop()
         self.store.stop()
@@ -409,11 +402,6 @@
         deployment.record.write(f"answer  {request_id} {status} {text}")
         return answer
 
-    async def reopen(self) -> None:
-        """Open another connection."""
-        self.close()
-        self._reader, self._writer = await self.deployment.connect(self.daemon)
-
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
