--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -227,16 +227,20 @@
             preexec_fn=_limit_descriptors,
         )
 
+    async def is_ready(self, daemon: Daemon) -> bool:
+        """Return whether a daemon answers within a second that it is ready."""
+        data = http.encode_request("GET", "/v1/ready", {"Host": "ready"})
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            response = await http.exchange(daemon.host, self._ports["ready"], data, 1.0)
+            return response.status == 200
+        return False
+
     async def wait_ready(self, daemon: Daemon) -> None:
         """Wait until a daemon is ready; raise TimeoutError if it is not in time."""
-        data = http.encode_request("GET", "/v1/ready", {"Host": "ready"})
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-                if (
-                    await http.exchange(daemon.host, self._ports["ready"], data, 1.0)
-                ).status == 200:
-                    return
+            if await self.is_ready(daemon):
+                return
             await asyncio.sleep(0.05)
         raise TimeoutError(f"{daemon.name} is not ready after {START_TIMEOUT_S} s")
 
