--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 -m review.15.play
