Log: a listing states the source's revision, the copy's, and how many items were ignored

The line `listed` showed the copy's own revision. It could not tell a store that returned older data from a listing that was applied. Change: `as_of` is what the source stated, `copy_as_of` what the copy keeps, `ignored` the items whose revisions were not above those known.

--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -15,10 +15,10 @@
 STARTUP_S = 5.0
 
 
-def apply(state: states.State, change: model.Change, now: float, out: list) -> None:
+def apply(state: states.State, change: model.Change, now: float, out: list) -> bool:
     """Apply an item, unless this or a newer revision of it has been applied.
 
-    An unknown item that is older than the data read so far has been removed since, and comes from a
+    Return False if it was ignored. An unknown item that is older than the data read so far has been removed since, and comes from a
     source that has not learnt of the removal.
     """
     sync = state.sync
@@ -26,7 +26,7 @@
         sync.as_of or 0, sync.removed_revisions.get(change.key, 0)
     )
     if change.revision <= known_revision:
-        return
+        return False
     sync.revision = max(sync.revision, change.revision)
     error = change.error or _find_conflict(state, change)
     if error:
@@ -34,7 +34,7 @@
         out.append(effect.Log("item_refused", {"key": change.key, "reason": error}))
     if change.value is None or error:
         remove(state, change.key, change.revision, now, out)
-        return
+        return True
     sync.revisions[change.key] = change.revision
     sync.removed_revisions.pop(change.key, None)
     if isinstance(change.value, model.RoutingTable):
@@ -45,6 +45,7 @@
         out.append(effect.Log("domain_out", fields))
     else:
         _apply_entry(state, change.key, change.value, now, out)
+    return True
 
 
 def _find_conflict(state: states.State, change: model.Change) -> str:
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -207,6 +207,7 @@
 
     first_as_of: int | None = None  # revision of the store at the first page
     seen: dict[str, int] = attrs.field(factory=dict)  # key -> revision
+    ignored: int = 0  # items whose revisions were lower than those known
 
 
 @attrs.define(eq=False)
--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -216,7 +216,8 @@
         listing.first_as_of = page.as_of
     for change in page.changes:
         listing.seen[change.key] = change.revision
-        catalog.apply(state, change, now, out)
+        if not catalog.apply(state, change, now, out):
+            listing.ignored += change.revision != sync.revisions.get(change.key)
     if page.next_after is not None:
         sync.read_no = state.next_number()
         out.append(_make_page_read(state, page.next_after))
@@ -230,7 +231,13 @@
     _record_success(state, page.age_s, True, now, out)
     if is_first and not membership.has_settled(state, now):
         sync.next_read_at = now + FIRST_WATCH_DELAY_S
-    fields = {"source": sync.source, "as_of": sync.as_of, "items": len(listing.seen)}
+    fields = {
+        "source": sync.source,
+        "as_of": listing.first_as_of,
+        "copy_as_of": sync.as_of,
+        "items": len(listing.seen),
+        "ignored": listing.ignored,
+    }
     out.append(effect.Log("listed", fields))
     sync.source = ""
 
--- a/tests/engine/test_sync.py
+++ b/tests/engine/test_sync.py
@@ -180,3 +180,17 @@
     assert [(line["after"], line["as_of"], line["changes"]) for line in lines] == [
         (after + 1, after + 3, 0)
     ]
+
+
+def test_listing_below_the_copy_is_logged_with_what_was_ignored():
+    """Guards against a log in which a listing that is ignored looks like one that is applied."""
+    world = worlds.make_plain_world(seconds=0.5)
+    as_of = world.state.sync.as_of
+    world.post(event.ReadFailed(world.state.sync.read_no, "status 410", is_compacted=True))
+    entry = world.replicas["p-0"].entry
+    older = model.Change("targets/p-0", 1, entry)
+    world.post(event.PageRead(world.state.sync.read_no, (older,), as_of - 1, None))
+    logs = [log for log in world.effects if isinstance(log, effect.Log)]
+    line = [log.fields for log in logs if log.name == "listed"][-1]
+    assert (line["as_of"], line["copy_as_of"]) == (as_of - 1, as_of)
+    assert (line["items"], line["ignored"]) == (1, 1)
