Emulated store: it returns from an older copy and states its era

Change: `make_copy` and `restore`; later writes are lost, their revisions are given out again, a watch from one that the store does not have gets 410, and each response states the era.

--- a/hyssopproxy/emulator/store.py
+++ b/hyssopproxy/emulator/store.py
@@ -5,6 +5,7 @@
 import typing
 import urllib.parse
 
+import attrs
 import msgspec
 
 from hyssopproxy.transport import message
@@ -13,14 +14,27 @@
 PAGE_BYTES = 1 << 20  # of encoded items; a page holds at least one
 
 
+@attrs.frozen
+class Copy:
+    """State of a store at a moment."""
+
+    items: dict[str, dict]
+    revision: int
+
+
 class Store(server.Handler):
-    """Store of items with revisions, range reads and watches."""
+    """Store of items with revisions, range reads and watches.
+
+    Each response states the era, which rises when the store returns from an older copy.
+    """
 
     def __init__(self) -> None:
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
         self.revision = 1
         self.oldest_revision = 1  # events before this revision are dropped
+        self.era = 1
+        self.states_era = True
         self.calls = 0
         self.fault = ""  # refuse (status 503) or silent (no response)
         self.page_items = 500
@@ -69,6 +83,25 @@
         self.events.clear()
         self.oldest_revision = self.revision + 1
 
+    def make_copy(self) -> Copy:
+        """Return a copy of the current state."""
+        return Copy(dict(self.items), self.revision)
+
+    def restore(self, older: Copy) -> None:
+        """Return from an older copy: later writes are lost, their revisions are given out again."""
+        self.era += 1
+        self.items = dict(older.items)
+        self.revision = older.revision
+        self.encoded_items = {
+            revision: encoded
+            for revision, encoded in self.encoded_items.items()
+            if revision <= older.revision
+        }
+        self.events = [item for item in self.events if item["revision"] <= older.revision]
+        self.oldest_revision = min(self.oldest_revision, older.revision + 1)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _add_event(self, item: dict) -> None:
         self.events.append(item)
         self._changed.set()
@@ -79,7 +112,7 @@
         if self.fault == "silent":
             return
         if self.fault == "refuse":
-            connection.reply(message.Response(503, []))
+            connection.reply(self._make_response(503))
             return
         parts = urllib.parse.urlsplit(request.target.decode())
         query = {key: values[0] for key, values in urllib.parse.parse_qs(parts.query).items()}
@@ -90,7 +123,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         else:
-            connection.reply(message.Response(404, []))
+            connection.reply(self._make_response(404))
 
     def _range(self, after: str) -> dict:
         keys = sorted(key for key in self.items if key > after)
@@ -106,8 +139,8 @@
 
     async def _watch(self, query: dict, connection: server.Connection) -> None:
         after = int(query["after"])
-        if after + 1 < self.oldest_revision:
-            connection.reply(message.Response(410, []))
+        if not self._has_history_after(after):
+            connection.reply(self._make_response(410))
             return
         changed = self._changed
         if not any(item["revision"] > after for item in self.events):
@@ -118,16 +151,23 @@
                 pass  # a watch without changes ends with an empty response
         if self.fault == "silent":
             return
-        if after + 1 < self.oldest_revision:  # the history was dropped meanwhile
-            connection.reply(message.Response(410, []))
+        if not self._has_history_after(after):  # it was dropped meanwhile
+            connection.reply(self._make_response(410))
             return
         events = [item for item in self.events if item["revision"] > after]
         self._reply(connection, "events", {"events": events, "asOf": self.revision})
 
+    def _has_history_after(self, revision: int) -> bool:
+        return self.oldest_revision <= revision + 1 <= self.revision + 1
+
+    def _make_response(self, status: int, body: bytes = b"") -> message.Response:
+        headers = [(b"Store-Era", b"%d" % self.era)] if self.states_era else []
+        return message.Response(status, headers, body)
+
     def _encode(self, item: dict) -> bytes:
         return self.encoded_items.get(item["revision"]) or msgspec.json.encode(item)
 
     def _reply(self, connection: server.Connection, field: str, value: dict) -> None:
         items = [msgspec.Raw(self._encode(item)) for item in value[field]]
         body = msgspec.json.encode({**value, field: items})
-        connection.reply(message.Response(200, [], body))
+        connection.reply(self._make_response(200, body))
