A copy of the published data belongs to an era of the store, and is replaced when a new one begins

Cause: the engine's copy and the cache for followers compared revisions from before the return with those given out again after it. An item of a known key was ignored below its known revision, one of an unknown key below the revision of the whole copy; a listing kept the higher `as_of`, so each watch got 410 and each listing was ignored, about 20 times a second. Change: the store states its era. Copy, cache, and what followers read carry it; a listing of a newer era replaces the copy as a whole, after its last page, with the revision that it states; a watch that is answered from a newer era leads to a listing; data of an older era are refused. A store that states no era has returned if a listing is below the copy. Configurations are still ordered by their version. Why it works: revisions are compared only within an era, where they do rise.

--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -27,6 +27,13 @@
     )
     if change.revision <= known_revision:
         return False
+    put(state, change, now, out)
+    return True
+
+
+def put(state: states.State, change: model.Change, now: float, out: list) -> None:
+    """Apply an item, whatever is known of its key."""
+    sync = state.sync
     sync.revision = max(sync.revision, change.revision)
     error = change.error or _find_conflict(state, change)
     if error:
@@ -34,7 +41,7 @@
         out.append(effect.Log("item_refused", {"key": change.key, "reason": error}))
     if change.value is None or error:
         remove(state, change.key, change.revision, now, out)
-        return True
+        return
     sync.revisions[change.key] = change.revision
     sync.removed_revisions.pop(change.key, None)
     if isinstance(change.value, model.RoutingTable):
@@ -45,7 +52,6 @@
         out.append(effect.Log("domain_out", fields))
     else:
         _apply_entry(state, change.key, change.value, now, out)
-    return True
 
 
 def _find_conflict(state: states.State, change: model.Change) -> str:
--- a/hyssopproxy/engine/effect.py
+++ b/hyssopproxy/engine/effect.py
@@ -88,6 +88,7 @@
     is_store: bool  # whether the source is the store and not a peer
     after: str | None  # key after which the page starts; None for the first page
     timeout_s: float
+    era: int = 0  # least era of the source's data
 
 
 @attrs.frozen
@@ -100,6 +101,7 @@
     after: int  # revision
     wait_s: float  # how long the source may hold the request until there are changes
     timeout_s: float
+    era: int = 0  # in which the revision is valid
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/event.py
+++ b/hyssopproxy/engine/event.py
@@ -80,6 +80,7 @@
     as_of: int  # revision of the source
     next_after: str | None  # key after which the next page starts; None after the last page
     age_s: float = 0.0  # how long ago the source's data were known to be current
+    era: int | None = None  # of the source's data; None for the era of this daemon's copy
 
 
 @attrs.frozen
@@ -90,6 +91,7 @@
     changes: tuple[model.Change, ...]
     as_of: int  # revision of the source
     age_s: float = 0.0  # how long ago the source's data were known to be current
+    era: int | None = None  # of the source's data; None for the era of this daemon's copy
 
 
 @attrs.frozen
@@ -100,6 +102,7 @@
     reason: str
     is_compacted: bool = False  # the history after the requested revision was dropped
     is_refused: bool = False  # the source answered that it cannot serve the read now
+    era: int = 0  # least era to list, if the source is in a newer one
 
 
 @attrs.frozen
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -205,15 +205,22 @@
 class Listing:
     """A read of all published items in progress, page by page."""
 
+    era: int = 0  # of the items; the least one accepted before the first page
     first_as_of: int | None = None  # revision of the store at the first page
     seen: dict[str, int] = attrs.field(factory=dict)  # key -> revision
+    # Items of a newer era than the copy's, which are applied together after the last page.
+    changes: list[model.Change] = attrs.field(factory=list)
     ignored: int = 0  # items whose revisions were lower than those known
 
 
 @attrs.define(eq=False)
 class Sync:
-    """Progress of synchronising with the published data."""
+    """Progress of synchronising with the published data.
 
+    All revisions are of one era: the store starts a new one when it returns from an older copy.
+    """
+
+    era: int = 0  # 0 until the store has stated one
     as_of: int | None = None  # revision to watch from; None until a listing is complete
     revision: int = 0  # newest revision applied
     read_no: int = 0  # number of the read in flight; 0 if there is none
--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -2,7 +2,8 @@
 
 Handles the case where the store is unreachable for all or some daemons, answers are lost, the
 requested history was compacted, or a connection delivers no more data without being closed.
-Revisions only increase: an item is never replaced by an older revision of it.
+Revisions only increase within an era: an item is never replaced by an older revision of it. Data of
+a newer era replace the copy as a whole (`era`), data of an older one are refused.
 
 One daemon of each failure domain, the reader, watches the store, and the others follow it, so that
 the calls to the store do not grow with the fleet. Each answer of a peer states the age of its data,
@@ -17,6 +18,7 @@
 
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import effect
+from hyssopproxy.engine import era as eras
 from hyssopproxy.engine import event
 from hyssopproxy.engine import membership
 from hyssopproxy.engine import state as states
@@ -92,6 +94,7 @@
             after=sync.as_of,
             wait_s=LONG_POLL_S,
             timeout_s=LONG_POLL_S + RESPONSE_TIMEOUT_S,
+            era=sync.era,
         )
     )
 
@@ -155,9 +158,11 @@
     return spread_s * len(domain_ranks) * state.rng.random()
 
 
-def _start_listing(state: states.State, source: str, out: list) -> None:
+def _start_listing(
+    state: states.State, source: str, out: list, least_era: int | None = None
+) -> None:
     sync = state.sync
-    sync.listing = states.Listing()
+    sync.listing = states.Listing(sync.era if least_era is None else least_era)
     sync.read_no = state.next_number()
     sync.source = source
     out.append(_make_page_read(state, None))
@@ -166,7 +171,9 @@
 def _make_page_read(state: states.State, after: str | None) -> effect.ReadPage:
     sync = state.sync
     is_store = sync.source == state.settings.store
-    return effect.ReadPage(sync.read_no, sync.source, is_store, after, PAGE_TIMEOUT_S)
+    return effect.ReadPage(
+        sync.read_no, sync.source, is_store, after, PAGE_TIMEOUT_S, sync.listing.era
+    )
 
 
 def _update_lag(state: states.State, now: float) -> None:
@@ -207,32 +214,49 @@
 
 
 def handle_page(state: states.State, page: event.PageRead, now: float, out: list) -> None:
-    """Apply a page of a listing; after the last one, remove the items that were not listed."""
+    """Apply a page of a listing; after the last one, remove the items that were not listed.
+
+    A listing of a newer era is applied after its last page.
+    """
     sync = state.sync
     if page.read_no != sync.read_no or sync.listing is None:
         return
     listing = sync.listing
+    page_era = listing.era if page.era is None else page.era
+    if page_era < listing.era or (listing.first_as_of is not None and page_era > listing.era):
+        _handle_other_era(state, page.read_no, page_era, now, out)
+        return
     if listing.first_as_of is None:
         listing.first_as_of = page.as_of
+        listing.era = page_era
+        if sync.as_of is None and not sync.revisions:
+            sync.era = page_era
+    is_new_era = listing.era > sync.era
     for change in page.changes:
         listing.seen[change.key] = change.revision
-        if not catalog.apply(state, change, now, out):
+        if is_new_era:
+            listing.changes.append(change)
+        elif not catalog.apply(state, change, now, out):
             listing.ignored += change.revision != sync.revisions.get(change.key)
     if page.next_after is not None:
         sync.read_no = state.next_number()
         out.append(_make_page_read(state, page.next_after))
         return
-    for key, revision in list(sync.revisions.items()):
-        if key not in listing.seen and revision <= listing.first_as_of:
-            catalog.remove(state, key, listing.first_as_of, now, out)
     is_first = sync.as_of is None
-    sync.as_of = max(sync.as_of or 0, listing.first_as_of)
+    if is_new_era:
+        eras.begin(state, listing, now, out)
+    else:
+        for key, revision in list(sync.revisions.items()):
+            if key not in listing.seen and revision <= listing.first_as_of:
+                catalog.remove(state, key, listing.first_as_of, now, out)
+        sync.as_of = max(sync.as_of or 0, listing.first_as_of)
     sync.listing = None
     _record_success(state, page.age_s, True, now, out)
     if is_first and not membership.has_settled(state, now):
         sync.next_read_at = now + FIRST_WATCH_DELAY_S
     fields = {
         "source": sync.source,
+        "era": sync.era,
         "as_of": listing.first_as_of,
         "copy_as_of": sync.as_of,
         "items": len(listing.seen),
@@ -242,11 +266,22 @@
     sync.source = ""
 
 
+def _handle_other_era(state: states.State, read_no: int, era: int, now: float, out: list) -> None:
+    """List the items of a source whose era is newer than this daemon's; refuse older data."""
+    is_newer = era > state.sync.era
+    reason = f"era {era} instead of {state.sync.era}"
+    failed = event.ReadFailed(read_no, reason, is_newer, not is_newer, era)
+    handle_read_failed(state, failed, now, out)
+
+
 def handle_changes(state: states.State, read: event.ChangesRead, now: float, out: list) -> None:
     """Apply changes and continue the watch."""
     sync = state.sync
     if read.read_no != sync.read_no:
         return
+    if read.era is not None and read.era != sync.era:
+        _handle_other_era(state, read.read_no, read.era, now, out)
+        return
     source = sync.source
     _log_gap(read, sync.as_of or 0, source, out)
     for change in read.changes:
@@ -313,7 +348,7 @@
     source, sync.source = sync.source, ""
     if failed.is_compacted:
         out.append(effect.Log("history_dropped", {"after": sync.as_of, "source": source}))
-        _start_listing(state, source, out)
+        _start_listing(state, source, out, max(sync.era, failed.era))
         return
     state.counters["reads_failed"] += 1
     if source != state.settings.store:
--- a/hyssopproxy/platform/header.py
+++ b/hyssopproxy/platform/header.py
@@ -13,6 +13,7 @@
 KEY = b"key"  # the caller's; never forwarded
 TENANT = b"tenant"  # name of the organisation that has the key
 SERVER_LEAVING = b"server-leaving"  # "1" in any answer of a leaf that leaves
+STORE_ERA = b"store-era"  # rises when the store returns from an older copy
 INSTANCE_ID = b"instance-id"  # of the leaf that answers 421
 WARMUP_REMAINING = b"warmup-remaining"  # milliseconds until the leaf has warmed up
 
@@ -20,5 +21,6 @@
 SEND_EXPECTED_INSTANCE = b"Expected-Instance"
 SEND_TENANT = b"Tenant"
 SEND_RETRY_AFTER = b"Retry-After"
+SEND_STORE_ERA = b"Store-Era"
 SEND_PART_STAMPS = b"Part-Stamps"
 SEND_MISSING_PARTS = b"Missing-Parts"
--- a/hyssopproxy/platform/store.py
+++ b/hyssopproxy/platform/store.py
@@ -15,10 +15,12 @@
 
 from hyssopproxy import limit
 from hyssopproxy.engine import effect
+from hyssopproxy.engine import era as eras
 from hyssopproxy.engine import event
 from hyssopproxy.engine import model
 from hyssopproxy.engine import sync
 from hyssopproxy.platform import document
+from hyssopproxy.platform import header
 from hyssopproxy.transport import buffer
 from hyssopproxy.transport import client
 from hyssopproxy.transport import message
@@ -28,6 +30,7 @@
 WATCH_PATH = "/v1/kv-watch"
 CONNECT_TIMEOUT_S = 0.5
 MAX_PAGE_ITEMS = 400
+ERA_FIELD = "era"  # of a follower's watch: in which era its revision is valid
 AGE_HEADER = b"data-age-ms"  # of a daemon's response: how long ago its data were current
 COMPRESS_BYTES = 2048  # minimum size for compression; links between VMs may be slow
 COMPRESS_LEVEL = 1  # fastest
@@ -39,9 +42,10 @@
 
 
 class ItemCache:
-    """Newest revision of each item that was read; served to followers."""
+    """Newest revision of each item that was read in one era; served to followers."""
 
     def __init__(self) -> None:
+        self.era = 0
         self.items: dict[str, document.Item] = {}
         self.tombstones: dict[str, document.Item] = {}
         self.as_of = 0  # the cache is complete up to this revision; 0 before the first listing
@@ -78,6 +82,13 @@
         self.compacted_revision = max(self.compacted_revision, as_of)
         self.as_of = max(self.as_of, as_of)
 
+    def restart(self, era: int, items: typing.Iterable[document.Item], as_of: int) -> None:
+        """Replace everything by a complete listing of another era."""
+        self.era = era
+        self.items = {item.key: item for item in items}
+        self.tombstones = {}
+        self.as_of = self.compacted_revision = as_of
+
     def _prune_tombstones(self) -> None:
         """Drop the oldest tombstones in excess of the limit."""
         while len(self.tombstones) > MAX_TOMBSTONES:
@@ -121,8 +132,11 @@
         self._account = account
         self._idle: dict[str, client.Connection] = {}
         self._newest_read_no = 0
+        # Of the listing in progress.
         self._listed_keys: set[str] = set()
         self._listed_as_of: int | None = None
+        self._listed_era = 0
+        self._listed_items: list[document.Item] = []  # of a newer era than the cache's
 
     async def read_page(self, read: effect.ReadPage) -> None:
         """Read one page of a listing of all items."""
@@ -133,41 +147,71 @@
         decoded = await self._read(read, path, document.decode_page)
         if decoded is None:
             return
-        page, age_s = decoded
+        page, age_s, era = decoded
         if read.after is None:
-            self._listed_keys = set()
-            self._listed_as_of = page.as_of
+            self._start_listing(read, page, era)
+        elif era is not None and era != self._listed_era:
+            self._fail(read, "the era changed during the listing", is_compacted=True)
+            return
         self._listed_keys.update(item.key for item in page.items)
-        self._cache.update(page.items)
+        if self._listed_era > self._cache.era:
+            self._listed_items.extend(page.items)
+        elif self._listed_era == self._cache.era:
+            self._cache.update(page.items)
         if page.more_pages and not page.items and page.unread:
             self._fail(read, "garbled: a page without an item that can be read")
             return
         next_after = page.items[-1].key if page.more_pages and page.items else None
         if next_after is None:
-            self._cache.remove_unlisted(self._listed_keys, self._listed_as_of)
+            self._complete_listing()
         changes = _decode(page.items, page.unread, self._listed_as_of)
-        self._post(event.PageRead(read.read_no, changes, page.as_of, next_after, age_s))
+        self._post(
+            event.PageRead(read.read_no, changes, page.as_of, next_after, age_s, self._listed_era)
+        )
+
+    def _start_listing(
+        self, read: effect.ReadPage, page: document.Page, stated_era: int | None
+    ) -> None:
+        self._listed_keys = set()
+        self._listed_items = []
+        self._listed_as_of = page.as_of
+        is_older = page.as_of < self._cache.as_of
+        self._listed_era = eras.resolve(stated_era, read.era, self._cache.era, is_older)
+
+    def _complete_listing(self) -> None:
+        """Update the cache, unless the listing is of an older era."""
+        if self._listed_era > self._cache.era:
+            self._cache.restart(self._listed_era, self._listed_items, self._listed_as_of)
+        elif self._listed_era == self._cache.era:
+            self._cache.remove_unlisted(self._listed_keys, self._listed_as_of)
+        self._listed_items = []
 
     async def read_changes(self, read: effect.ReadChanges) -> None:
         """Watch for changes (long poll)."""
         query = {"pathPrefix": "", "after": read.after, "waitMs": int(read.wait_s * 1000)}
+        if not read.is_store:
+            query[ERA_FIELD] = read.era
         path = f"{WATCH_PATH}?{urllib.parse.urlencode(query)}"
         decoded = await self._read(read, path, document.decode_events)
         if decoded is None:
             return
-        events, age_s = decoded
-        self._cache.update(events.events, events.as_of)
+        events, age_s, era = decoded
+        if era is None:
+            era = read.era
+        if era == self._cache.era:
+            self._cache.update(events.events, events.as_of)
         changes = _decode(events.events, events.unread, events.as_of)
-        self._post(event.ChangesRead(read.read_no, changes, events.as_of, age_s))
+        self._post(event.ChangesRead(read.read_no, changes, events.as_of, age_s, era))
 
     async def _read(
         self,
         read: effect.ReadPage | effect.ReadChanges,
         path: str,
         decode: typing.Callable[[bytes], typing.Any],
-    ) -> tuple[typing.Any, float] | None:
-        """Return the decoded body of a 200 response and the age of its data in seconds.
+    ) -> tuple[typing.Any, float, int | None] | None:
+        """Return the decoded body of a 200 response, the age of its data in seconds and their era.
 
+        The era is None if the store states none; a daemon that states none is of an older version.
         Return None after posting a failure, and for a read that the engine has abandoned for a
         newer one: its late page would mix two listings.
         """
@@ -177,7 +221,10 @@
             return None
         try:
             body = decompress(response, self._limits.body_bytes)
-            return decode(body), 0.0 if read.is_store else parse_age_s(response)
+            era = parse_era(response)
+            if read.is_store:
+                return decode(body), 0.0, era
+            return decode(body), parse_age_s(response), era or 0
         except (zlib.error, *document.DECODE_ERRORS) as error:
             self._fail(read, f"garbled: {str(error)[:160]}")
             return None
@@ -284,7 +331,8 @@
         self._cache = cache
         self._may_serve = may_serve
         self._read_age_s = read_age_s
-        self._watches: dict[server.Connection, int] = {}  # last revision seen, by connection
+        # Last revision seen and its era, by connection. Daemons of older versions state no era.
+        self._watches: dict[server.Connection, tuple[int, int | None]] = {}
         self.compacted_watches = 0  # watches answered that the changes are no longer available
 
     def handle(self, request: message.Request, connection: server.Connection) -> None:
@@ -301,47 +349,54 @@
                 connection.reply(message.Response(400, [], b"after and waitMs are whole numbers"))
             else:
                 wait_s = min(wait_ms, MAX_WAIT_MS) / 1000
-                self._handle_watch(after, wait_s, connection)
+                era = _parse_count(query.get(ERA_FIELD, ""))
+                self._handle_watch((after, era), wait_s, connection)
         else:
             connection.reply(message.Response(404, []))
 
     def handle_disconnect(self, connection: server.Connection) -> None:
         self._watches.pop(connection, None)
 
-    def _handle_watch(self, after: int, wait_s: float, connection: server.Connection) -> None:
-        if (refusal := self._find_refusal(after)) is not None:
+    def _handle_watch(
+        self, position: tuple[int, int | None], wait_s: float, connection: server.Connection
+    ) -> None:
+        if (refusal := self._find_refusal(*position)) is not None:
             connection.reply(refusal)
-        elif (events := self._cache.changes_since(after)).events:
+        elif (events := self._cache.changes_since(position[0])).events:
             self._reply(connection, events)
         else:
-            self._watches[connection] = after
+            self._watches[connection] = position
             loop = asyncio.get_running_loop()
-            loop.call_later(wait_s, self._end_watch, connection, after)
+            loop.call_later(wait_s, self._end_watch, connection, position)
 
-    def _find_refusal(self, after: int) -> message.Response | None:
+    def _find_refusal(self, after: int, era: int | None) -> message.Response | None:
         """Return the refusal of a watch, or None if the cache has all changes after its revision.
 
-        The cache may lose removals while a watch waits, so this is checked before each answer.
+        The cache may lose removals or begin an era while a watch waits, so this is checked before
+        each answer.
         """
         if not self._may_serve():
             return message.Response(503, [], b"the data may be out of date")
-        if after < self._cache.compacted_revision:
+        if era is not None and era > self._cache.era:
+            return message.Response(503, [], b"the data are of an older era")
+        is_other_era = era is not None and era != self._cache.era
+        if is_other_era or after < self._cache.compacted_revision:
             self.compacted_watches += 1
             return message.Response(410, [])
         return None
 
     def answer_watches(self) -> None:
         """Answer all pending watches, with the changes or the age of the data or a refusal."""
-        for connection, after in list(self._watches.items()):
-            self._end_watch(connection, after)
+        for connection, position in list(self._watches.items()):
+            self._end_watch(connection, position)
 
-    def _end_watch(self, connection: server.Connection, after: int) -> None:
-        if self._watches.get(connection) == after:
+    def _end_watch(self, connection: server.Connection, position: tuple[int, int | None]) -> None:
+        if self._watches.get(connection) == position:
             del self._watches[connection]
-            if (refusal := self._find_refusal(after)) is not None:
+            if (refusal := self._find_refusal(*position)) is not None:
                 connection.reply(refusal)
             else:
-                self._reply(connection, self._cache.changes_since(after))
+                self._reply(connection, self._cache.changes_since(position[0]))
 
     def _reply(self, connection: server.Connection, value: msgspec.Struct) -> None:
         body = msgspec.json.encode(value)
@@ -349,6 +404,7 @@
         headers = [
             (b"Content-Type", b"application/json"),
             (AGE_HEADER, b"%d" % math.ceil(age_s * 1000)),
+            (header.SEND_STORE_ERA, b"%d" % self._cache.era),
         ]
         if len(body) >= COMPRESS_BYTES:
             body = _compress(body)
@@ -366,6 +422,12 @@
     return int(text) / 1000 if is_number else sync.FRESH_S
 
 
+def parse_era(response: message.Response) -> int | None:
+    """Return the era that a response states, or None if it states none that can be read."""
+    text = response.get_header(header.STORE_ERA)
+    return _parse_count(text.decode("latin-1")) if text is not None else None
+
+
 def _parse_count(text: str) -> int | None:
     """Return a whole number, or None if the text is none."""
     return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else None
