Gossip states the era of a daemon's data; a newer era goes before version and revision

What callers see: a daemon that the store turns away keeps what the store has lost, and the others read it, as its revision is higher; they follow a daemon that is still in the era before. Cause: `sync._find_newer_peer` ranked daemons by version and revision, which mean nothing across a return; `find_reader` did not look at the era at all. Change: `MemberRecord` has the era as its last field, which older daemons ignore; records of older daemons count as era 0. Daemons of an older era are neither read nor followed, those of a newer one are read first.

--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -18,8 +18,8 @@
 def apply(state: states.State, change: model.Change, now: float, out: list) -> bool:
     """Apply an item, unless this or a newer revision of it has been applied.
 
-    Return False if it was ignored. An unknown item that is older than the data read so far has been removed since, and comes from a
-    source that has not learnt of the removal.
+    Return False if it was ignored. An unknown item that is older than the data read so far has been
+    removed since, and comes from a source that has not learnt of the removal.
     """
     sync = state.sync
     known_revision = sync.revisions.get(change.key) or max(
--- a/hyssopproxy/engine/datagram.py
+++ b/hyssopproxy/engine/datagram.py
@@ -25,6 +25,7 @@
     is_stale: bool = False  # its copy of the published data may be out of date
     link_mbps: Number = 0.0  # bandwidth of the link of its VM
     has_quota: bool = False  # its version takes part in the quotas of organisations
+    era: Count = 0  # of its published data; a revision is valid within it
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/hyssopproxy/engine/membership.py
+++ b/hyssopproxy/engine/membership.py
@@ -150,6 +150,7 @@
             and previous.has_quota
             and previous.incarnation == record.incarnation
         ),
+        era=record.era,
         live_since=_live_since(state, previous, record, now),
     )
 
@@ -240,6 +241,7 @@
         is_stale=not state.sync.is_current(SYNC_MAX_AGE_S, now),
         link_mbps=state.settings.link_mbps,
         has_quota=True,
+        era=state.sync.era if is_complete else 0,
     )
     records = tuple(
         datagram.MemberRecord(
@@ -252,6 +254,7 @@
             member.is_stale,
             member.link_mbps,
             member.has_quota,
+            member.era,
         )
         for member in _choose_records(state, count)
     )
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -198,6 +198,7 @@
     link_mbps: float  # bandwidth of the link of its VM
     last_seen_at: float  # when its latest heartbeat arrived, directly or relayed
     has_quota: bool = False  # its version takes part in the quotas of organisations
+    era: int = 0  # in which its revision is valid
     live_since: float = NEVER  # since when it has been live without interruption
 
 
--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -119,8 +119,9 @@
 
     It is the live daemon with the highest link bandwidth, as it passes each change on to all
     others; ties are broken by rendezvous hashing. Other daemons are not eligible without data, with
-    stale data, or for some time after a read of them failed. Daemons that know of different live
-    members may follow different daemons. Without `includes_self`, this daemon is the last choice.
+    stale data or data of an older era, or for some time after a read of them failed. Daemons that
+    know of different live members may follow different daemons. Without `includes_self`, this
+    daemon is the last choice.
     """
     settings = state.settings
     links = {settings.ip: settings.link_mbps} if includes_self else {}
@@ -129,6 +130,7 @@
             member.failure_domain == settings.failure_domain
             and (member.version or member.revision)
             and not member.is_stale
+            and member.era >= state.sync.era
             and now >= state.sync.avoided_peers.get(member.ip, states.NEVER)
         ):
             links[member.ip] = member.link_mbps
@@ -197,22 +199,30 @@
 def _find_newer_peer(state: states.State, now: float) -> str | None:
     """Return the control address of the live peer with the newest data, None if it is not newer.
 
-    Peers of this failure domain are preferred.
+    Data of a newer era are newer, whatever their version and revision. Peers of this failure domain
+    are preferred.
     """
-    version = state.table.version if state.table else 0
-    revision = state.sync.revision
     best = None
     best_rank: tuple = ()
     for member in membership.live_members(state, now):
-        if (member.version, member.revision) <= (version, revision) or member.version < version:
+        if not _is_newer(state, member):
             continue
         is_local = member.failure_domain == state.settings.failure_domain
-        rank = (member.version, member.revision, is_local)
+        rank = (member.era, member.version, member.revision, is_local)
         if rank > best_rank:
             best, best_rank = member, rank
     return f"{best.ip}:{state.settings.control_port}" if best else None
 
 
+def _is_newer(state: states.State, member: states.Member) -> bool:
+    """Return whether the data of a peer are newer than this daemon's."""
+    if member.era != state.sync.era:
+        return member.era > state.sync.era
+    version = state.table.version if state.table else 0
+    revision = state.sync.revision
+    return member.version >= version and (member.version, member.revision) > (version, revision)
+
+
 def handle_page(state: states.State, page: event.PageRead, now: float, out: list) -> None:
     """Apply a page of a listing; after the last one, remove the items that were not listed.
 
