A target or failure domain is not used on the word of the store's older copy alone

What callers see: right after the store is back from an older copy, targets that drain or are gone get requests again, as the copy holds them as ready; so does a failure domain whose evacuation was lost, and one that operators have taken back in service is avoided again. Cause: a listing of a newer era was applied as it stands, though some of it only precedes what this daemon had read. Measured: tests/engine pass.

--- a/hyssopproxy/engine/catalog.py
+++ b/hyssopproxy/engine/catalog.py
@@ -34,6 +34,7 @@
 def put(state: states.State, change: model.Change, now: float, out: list) -> None:
     """Apply an item, whatever is known of its key."""
     sync = state.sync
+    sync.held.pop(change.key, None)
     sync.revision = max(sync.revision, change.revision)
     error = change.error or _find_conflict(state, change)
     if error:
@@ -122,6 +123,7 @@
     """Apply the removal of an item; a target may still be picked for a short time."""
     sync = state.sync
     sync.revision = max(sync.revision, revision)
+    sync.held.pop(key, None)
     sync.revisions.pop(key, None)
     sync.removed_revisions[key] = revision
     if state.evacuated_domains.pop(key, None) is not None:
--- a/hyssopproxy/engine/lifecycle.py
+++ b/hyssopproxy/engine/lifecycle.py
@@ -12,6 +12,7 @@
 from hyssopproxy.engine import catalog
 from hyssopproxy.engine import closing
 from hyssopproxy.engine import effect
+from hyssopproxy.engine import era
 from hyssopproxy.engine import event
 from hyssopproxy.engine import health
 from hyssopproxy.engine import membership
@@ -119,6 +120,7 @@
 
 _TICK_HANDLERS: tuple[typing.Callable[[states.State, float, list], None], ...] = (
     sync.handle_tick,
+    era.handle_tick,
     membership.handle_tick,
     catalog.handle_tick,
     closing.handle_tick,
--- a/hyssopproxy/engine/state.py
+++ b/hyssopproxy/engine/state.py
@@ -214,6 +214,14 @@
     ignored: int = 0  # items whose revisions were lower than those known
 
 
+@attrs.frozen
+class HeldChange:
+    """A change that a listing of a new era states, but that may only undo what the store lost."""
+
+    change: model.Change
+    until: float  # when it is applied, unless the item is written again before
+
+
 @attrs.define(eq=False)
 class Sync:
     """Progress of synchronising with the published data.
@@ -238,6 +246,7 @@
     lost_store_at: float | None = None  # when two consecutive reads of the store had failed
     removed_revisions: dict[str, int] = attrs.field(factory=dict)  # key -> revision of its removal
     revisions: dict[str, int] = attrs.field(factory=dict)  # key -> revision applied
+    held: dict[str, HeldChange] = attrs.field(factory=dict)  # by key
 
     def is_current(self, max_age_s: float, now: float) -> bool:
         """Return whether the data were current recently, and after the last failed store read."""
--- a/tests/engine/test_era.py
+++ b/tests/engine/test_era.py
@@ -135,6 +135,88 @@
     assert world.state.targets[KEY].removed_at is not None
 
 
+@pytest.mark.parametrize("state_of_target", ["draining", "removed", "replaced"])
+def test_target_is_not_used_on_the_word_of_the_older_copy(state_of_target):
+    """Guards against requests to a target that drains or is gone, and stands there as ready."""
+    world = make_world()
+    copy = make_copy(world)
+    entry = world.replicas["p-0"].entry
+    if state_of_target == "draining":
+        world.publish(attrs.evolve(entry, is_draining=True))
+    elif state_of_target == "removed":
+        world.remove(entry)
+    else:
+        world.publish(attrs.evolve(entry, started_at_ms=77, address="10.2.0.9:80"))
+    before = world.state.targets[KEY].entry
+    list_changes(world, copy, 40)
+    list_changes(world, copy, 39, listed_era=3)
+    world.run(sync.MAX_LAG_S)
+    target = world.state.targets[KEY]
+    assert target.entry == before
+    assert (target.removed_at is not None) == (state_of_target == "removed")
+    rewrite(world, model.Change(KEY, 60, attrs.evolve(entry, cold_left_s=1.0)))
+    target = world.state.targets[KEY]
+    assert target.removed_at is None and target.entry.cold_left_s == 1.0
+    assert not world.state.sync.held
+
+
+def test_held_entry_is_applied_once_the_store_had_time_to_drop_it():
+    world = make_world()
+    copy = make_copy(world)
+    world.remove(world.replicas["p-0"].entry)
+    list_changes(world, copy, 40)
+    assert world.state.targets[KEY].removed_at is not None
+    world.run(era.HOLD_S + 0.1)
+    assert world.state.targets[KEY].removed_at is None
+
+
+def test_entry_written_since_the_return_is_used_at_once():
+    """A higher revision than that of the removal cannot come from the older copy."""
+    world = make_world()
+    entry = world.replicas["p-0"].entry
+    world.remove(entry)
+    copy = [change for change in make_copy(world) if change.key != KEY]
+    list_changes(world, [*copy, model.Change(KEY, 110, entry)], 110)
+    assert world.state.targets[KEY].removed_at is None
+
+
+def test_evacuation_that_the_store_lost_holds_until_it_is_written_again():
+    """Guards against requests to a failure domain that operators have just taken out of service."""
+    world = make_world()
+    copy = make_copy(world)
+    world.publish(model.Evacuation("domain-b"))
+    list_changes(world, copy, 40)
+    list_changes(world, copy, 39, listed_era=3)
+    assert OUT_KEY in world.state.evacuated_domains
+    rewrite(world, model.Change(OUT_KEY, 60, model.Evacuation("domain-b")))
+    world.run(era.HOLD_S + 0.1)
+    assert OUT_KEY in world.state.evacuated_domains
+    rewrite(world, model.Change(OUT_KEY, 61, None))
+    assert not world.state.evacuated_domains
+
+
+def test_evacuation_that_is_not_written_again_ends():
+    world = make_world()
+    copy = make_copy(world)
+    world.publish(model.Evacuation("domain-b"))
+    list_changes(world, copy, 40)
+    world.run(era.HOLD_S + 0.1)
+    assert not world.state.evacuated_domains
+
+
+def test_evacuation_that_was_taken_back_does_not_return_with_the_older_copy():
+    world = make_world()
+    copy = [*make_copy(world), model.Change(OUT_KEY, 9, model.Evacuation("domain-b"))]
+    world.publish(model.Evacuation("domain-b"))
+    world.run(0.3)
+    world.post_changes([model.Change(OUT_KEY, world._revision + 1, None)])
+    list_changes(world, copy, 40)
+    list_changes(world, copy, 39, listed_era=3)
+    assert not world.state.evacuated_domains
+    rewrite(world, model.Change(OUT_KEY, 60, model.Evacuation("domain-b")))
+    assert OUT_KEY in world.state.evacuated_domains
+
+
 def receive_gossip(world, member_era, heartbeat=1, domain="domain-b", **fields):
     values = {"version": 1, "revision": 60, "link_mbps": 900.0, **fields}
     record = datagram.MemberRecord("10.9.0.9", domain, 1, heartbeat, era=member_era, **values)
