--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -50,6 +50,7 @@
         self.client = store.StoreClient(self.events.append, self.cache, limits.store, account)
         self.client._call = self._call
         self.after = None  # revision to watch from; None before the first listing
+        self.era = 0  # in which it is valid; the least one of a listing
         self.page_after = None
         self.listed_as_of = None
         self.read_no = 0
@@ -67,21 +68,27 @@
         """Read one page of a listing, or the changes since the last read."""
         self.read_no += 1
         if self.after is None:
-            page = effect.ReadPage(self.read_no, "source", False, self.page_after, 1.0)
+            page = effect.ReadPage(self.read_no, "source", False, self.page_after, 1.0, self.era)
             await self.client.read_page(page)
         else:
-            watch = effect.ReadChanges(self.read_no, "source", False, self.after, wait_s, 1.0)
+            watch = effect.ReadChanges(
+                self.read_no, "source", False, self.after, wait_s, 1.0, self.era
+            )
             await self.client.read_changes(watch)
         self._handle(self.events.pop())
 
     def _handle(self, read):
-        if isinstance(read, event.ReadFailed):
+        if not isinstance(read, event.ReadFailed) and read.era < self.era:
+            self.page_after, self.listed_as_of = None, None
+        elif isinstance(read, event.ChangesRead) and read.era > self.era:
+            self.after, self.era = None, read.era
+        elif isinstance(read, event.ReadFailed):
             self.page_after, self.listed_as_of = None, None
             if read.is_compacted:
                 self.after = None
         elif isinstance(read, event.PageRead):
             if self.listed_as_of is None:
-                self.listed_as_of = read.as_of
+                self.listed_as_of, self.era = read.as_of, read.era
             self.page_after = read.next_after
             if read.next_after is None:
                 self.after, self.listed_as_of = self.listed_as_of, None
@@ -91,20 +98,24 @@
             if read.changes:
                 self.handler.answer_watches()
 
-    def revisions(self):
-        return {key: item.revision for key, item in self.cache.items.items()}
+    def items(self):
+        return {key: (item.revision, item.value) for key, item in self.cache.items.items()}
 
 
 def make_steps():
     write = strategies.tuples(strategies.just("put"), strategies.sampled_from(KEYS))
     remove = strategies.tuples(strategies.just("remove"), strategies.sampled_from(KEYS))
     compact = strategies.tuples(strategies.just("compact"), strategies.none())
+    copy = strategies.tuples(strategies.just("copy"), strategies.none())
+    restore = strategies.tuples(strategies.just("restore"), strategies.none())
     read = strategies.tuples(strategies.just("read"), strategies.integers(0, 2))
     watch = strategies.tuples(strategies.just("watch"), strategies.integers(1, 2))
     restart = strategies.tuples(strategies.just("restart"), strategies.integers(0, 2))
     follow = strategies.tuples(strategies.just("follow"), strategies.integers(0, 1))
-    step = strategies.one_of(write, remove, compact, read, read, watch, restart, follow)
-    return strategies.lists(step, max_size=40)
+    step = strategies.one_of(
+        write, write, remove, compact, copy, restore, read, read, watch, restart, follow
+    )
+    return strategies.lists(step, max_size=60)
 
 
 async def play(steps):
@@ -117,9 +128,14 @@
     follower = Copy(reader)
     copies = [reader, follower, Copy(follower)]
     waiting = {}
-    for name, argument in steps:
+    older = emulated.make_copy()
+    for number, (name, argument) in enumerate(steps):
         if name == "put":
-            emulated.put(argument, b"{}")
+            emulated.put(argument, b"%d" % number)
+        elif name == "copy":
+            older = emulated.make_copy()
+        elif name == "restore":
+            emulated.restore(older)
         elif name == "remove" and argument in emulated.items:
             emulated.remove(argument)
         elif name == "compact":
@@ -137,9 +153,10 @@
     for copy in copies:
         for _ in range(12):
             await copy.read()
-    expected = {key: item["revision"] for key, item in emulated.items.items()}
+    expected = {key: (item["revision"], item["value"]) for key, item in emulated.items.items()}
     for copy in copies:
-        assert copy.revisions() == expected
+        assert copy.items() == expected
+        assert copy.cache.era == emulated.era
     emulated.stop()
 
 
@@ -154,6 +171,20 @@
         *[("read", 0)] * 3,
     ]
 )
+@hypothesis.example(
+    [
+        *[("read", number) for number in (0, 0, 1, 1, 2, 2)],
+        *[("put", "op/evacuate/a")] * 3,
+        *[("read", number) for number in (0, 1, 2)],
+        ("watch", 2),
+        ("restore", None),
+        *[("put", "servers/d")] * 4,
+        ("read", 1),
+    ]
+)
 def test_copies_equal_the_store_once_all_is_quiet(steps):
-    """Guards against copies that keep or lack an item after losses of history and restarts."""
+    """Guards against copies that keep or lack an item.
+
+    After losses of history, returns of the store from an older copy, and restarts.
+    """
     asyncio.run(play(steps))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -446,3 +446,102 @@
         return [item.key for item in cache.page_after("").items]
 
     assert asyncio.run(run()) == ["k0", "k1", "k2", "k3"]
+
+
+def watch_in_era(handler, after, era):
+    connection = FakeConnection()
+    target = f"/v1/kv-watch?pathPrefix=&after={after}&waitMs=1000&era={era}".encode()
+    handler.handle(message.Request(b"GET", target, []), connection)
+    return connection
+
+
+def test_new_era_replaces_the_cache_and_ends_watches_of_the_era_before():
+    """Guards against followers that go on from a revision that the store has given out again."""
+
+    async def run():
+        cache = store.ItemCache()
+        handler, _ = make_handler(cache)
+        cache.restart(1, [make_item("a", 5), make_item("b", 9)], 9)
+        pending = watch_in_era(handler, 9, 1)
+        cache.restart(2, [make_item("a", 3)], 4)
+        handler.answer_watches()
+        assert pending.statuses == [410]
+        assert watch_in_era(handler, 4, 1).statuses == [410]
+        assert watch_in_era(handler, 9, 3).statuses == [503], "this daemon is behind"
+        cache.update([make_item("c", 5)], 5)
+        (response,) = watch_in_era(handler, 4, 2).responses
+        assert store.parse_era(response) == 2
+        events = document.decode_events(response.body)
+        assert [(item.key, item.revision) for item in events.events] == [("c", 5)]
+        assert [item.key for item in cache.page_after("").items] == ["a", "c"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("value", "era"),
+    [(b"3", 3), (b"0", 0), (b"-1", None), (b"1.0", None), (b"", None), (b"\xb2", None)]
+    + [(b"9" * 40, None), (None, None)],
+)
+def test_era_that_cannot_be_read_counts_as_not_stated(value, era):
+    headers = [] if value is None else [(b"Store-Era", value)]
+    assert store.parse_era(message.Response(200, headers)) == era
+
+
+def make_era_client(responses):
+    """Return a client whose reads get these eras and bodies in turn, its cache and its events."""
+    posted = []
+    limits = limit.BufferLimits()
+    cache = store.ItemCache()
+    account = buffer.Account(limits.total_bytes)
+    client = store.StoreClient(posted.append, cache, limits.store, account)
+
+    async def call(read, path):
+        stated_era, body = responses.pop(0)
+        headers = [] if stated_era is None else [(b"store-era", b"%d" % stated_era)]
+        response = message.Response(200, headers)
+        response.body = msgspec.json.encode(body)
+        return response
+
+    client._call = call
+    return client, cache, posted
+
+
+def test_listing_across_a_return_of_the_store_begins_anew():
+    """Guards against a copy of two eras: its pages were read before and after the return."""
+    pages = [
+        (1, document.Page((make_item("a", 5),), 9, True)),
+        (2, document.Page((make_item("b", 4),), 4)),
+    ]
+    client, cache, posted = make_era_client(pages)
+    for read_no, after in ((1, None), (2, "a")):
+        asyncio.run(client.read_page(effect.ReadPage(read_no, "s", True, after, 1.0)))
+    assert posted[0].era == 1 and posted[1].is_compacted
+    assert cache.as_of == 0
+
+
+@pytest.mark.parametrize("is_store", [True, False])
+def test_answer_without_an_era(is_store):
+    """A store that states none is in the era of the copy; an older daemon may be in any."""
+    client, cache, posted = make_era_client([(None, document.Events((make_item("b", 4),), 12))])
+    cache.restart(3, [make_item("a", 5)], 9)
+    read = effect.ReadChanges(1, "s", is_store, 9, 1.0, 1.0, 3)
+    asyncio.run(client.read_changes(read))
+    assert posted[0].era == (3 if is_store else 0)
+    assert cache.as_of == (12 if is_store else 9)
+
+
+def test_listing_below_the_copy_without_an_era_begins_one():
+    client, cache, posted = make_era_client([(None, document.Page((make_item("a", 3),), 4))])
+    cache.restart(3, [make_item("a", 5), make_item("b", 9)], 9)
+    asyncio.run(client.read_page(effect.ReadPage(1, "s", True, None, 1.0, 3)))
+    assert (posted[0].era, cache.era, cache.as_of) == (4, 4, 4)
+    assert [item.revision for item in cache.page_after("").items] == [3]
+
+
+def test_listing_of_an_older_era_leaves_the_cache_unchanged():
+    client, cache, posted = make_era_client([(2, document.Page((make_item("c", 30),), 40))])
+    cache.restart(3, [make_item("a", 5)], 9)
+    asyncio.run(client.read_page(effect.ReadPage(1, "s", True, None, 1.0, 3)))
+    assert (posted[0].era, cache.era, cache.as_of) == (2, 3, 9)
+    assert [item.key for item in cache.page_after("").items] == ["a"]
