Soak: the store returns from an older copy, and a last configuration has to take effect

Change: as a fault of the store, a copy is taken, the store is away for up to 1 s and returns from it 0.5 to 4 s later; what it lost is written again unless somebody has written it since. After recovery a configuration adds a route that every daemon must serve.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import base64
 import contextlib
 import functools
 import random
@@ -22,6 +23,7 @@
 QUIET_S = 1.0  # callers send hundreds of requests in this time
 LEAF_FAULTS = ("shed", "error", "reset", "truncate", "garbage", "extra", "unframed", "silent")
 DRAIN_MS = 1000  # shorter than in operation, so that it ends while faults are injected
+NEW_ROUTE = "/n/"  # path prefix that only the last configuration has
 LINK_FAULTS = ("reset", "cut", "stall_up", "stall_down", "delay")
 
 
@@ -35,6 +37,7 @@
         self._ledger = check.Ledger(site)
         self._affected_hosts: set[str] = set()  # daemons that a fault currently affects
         self._affected_leaves: set[str] = set()  # leaves whose link or entry a fault affects
+        self._is_store_returning = False
         self.faults: list[str] = []
 
     async def run(self) -> check.Ledger:
@@ -45,6 +48,7 @@
         fault_tasks.append(asyncio.create_task(self._inject_statements()))
         await asyncio.gather(*fault_tasks)
         await self._check_recovery()
+        await self._check_configuration()
         await self._check_removal()
         stop.set()
         await asyncio.gather(*callers)
@@ -212,7 +216,10 @@
         self._affected_leaves.discard(name)
 
     async def _inject_store_fault(self) -> None:
-        fault = self._rng.choice(("refuse", "silent", "compact"))
+        fault = self._rng.choice(("refuse", "silent", "compact", "return"))
+        if fault == "return":
+            await self._return_store()
+            return
         self._record_fault(f"store {fault}")
         if fault == "compact":
             self._site.store.compact()
@@ -221,6 +228,32 @@
         await asyncio.sleep(self._rng.uniform(0.2, 2.0))
         self._site.store.fault = ""
 
+    async def _return_store(self) -> None:
+        """Let the store return from an older copy; what it lost is written again."""
+        if self._is_store_returning:
+            return
+        self._is_store_returning = True
+        store = self._site.store
+        older = store.make_copy()
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        self._record_fault(f"store returns from {store.revision} to {older.revision}")
+        store.fault = "refuse"
+        await asyncio.sleep(self._rng.uniform(0.2, 1.0))
+        lost = dict(store.items)
+        store.restore(older)
+        store.fault = ""
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        for key in sorted(lost.keys() | older.items.keys()):
+            if store.items.get(key) != older.items.get(key) or lost.get(key) == older.items.get(
+                key
+            ):
+                continue  # written since the return, or not lost
+            if key in lost:
+                store.put(key, base64.b64decode(lost[key]["value"]))
+            else:
+                store.remove(key)
+        self._is_store_returning = False
+
     async def _change_configuration(self) -> None:
         shards = [f"s{index}" for index in range(SHARDS)]
         shards = shards[: self._rng.choice((SHARDS, SHARDS - 1))]
@@ -284,6 +317,20 @@
                     return
                 await asyncio.sleep(0.1)
 
+    async def _check_configuration(self) -> None:
+        """Publish a configuration; every daemon must serve the route that it adds."""
+        publish(self._site, [f"s{index}" for index in range(SHARDS)], NEW_ROUTE)
+        deadline = time.monotonic() + RECOVERY_TIMEOUT_S
+        for daemon in self._site.daemons:
+            while not await self._is_serving(daemon, (f"{NEW_ROUTE}x",)):
+                if time.monotonic() > deadline:
+                    self._ledger.add_violation(
+                        f"{daemon.host}: version {self._site.version} not in force after"
+                        f" {RECOVERY_TIMEOUT_S} s"
+                    )
+                    return
+                await asyncio.sleep(0.1)
+
     async def _check_removal(self) -> None:
         """Remove an entry right before a loss of history; requests to its leaf must end."""
         name = next(iter(self._site.leaves))
@@ -302,8 +349,10 @@
             arrivals = len(leaf.arrivals)
             await asyncio.sleep(QUIET_S)
 
-    async def _is_serving(self, daemon: sites.Daemon) -> bool:
-        for target in ("/s/x", "/p/x"):
+    async def _is_serving(
+        self, daemon: sites.Daemon, targets: tuple[str, ...] = ("/s/x", "/p/x")
+    ) -> bool:
+        for target in targets:
             with contextlib.suppress(OSError, TimeoutError):
                 reply = await self._site.get(daemon, target)
                 if reply.status == 200 and reply.get_header(b"missing-parts") in (None, b"0"):
@@ -312,10 +361,11 @@
         return True
 
 
-def publish(site: sites.Site, shards: list[str]) -> None:
+def publish(site: sites.Site, shards: list[str], *new_prefixes: str) -> None:
     """Publish the routes that the soak test uses."""
+    new_routes = [sites.plain_route(name="r-new", pathPrefix=prefix) for prefix in new_prefixes]
     non_idempotent = sites.plain_route(name="r-unsafe", pathPrefix="/u/", type="non_idempotent")
-    site.publish(sites.search_route(*shards), sites.plain_route(), non_idempotent)
+    site.publish(sites.search_route(*shards), sites.plain_route(), non_idempotent, *new_routes)
 
 
 async def run_seed(seed: int, seconds: float) -> tuple[check.Ledger, list[str]]:
