Soak: each run ends with a return of the store, after which a configuration has to take effect

Change: after recovery eight writes are lost, the store returns, and the next configuration must be served by every daemon.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
 QUIET_S = 1.0  # callers send hundreds of requests in this time
 LEAF_FAULTS = ("shed", "error", "reset", "truncate", "garbage", "extra", "unframed", "silent")
 DRAIN_MS = 1000  # shorter than in operation, so that it ends while faults are injected
+LOST_WRITES = 8  # before the last return of the store; more than are written after it
 NEW_ROUTE = "/n/"  # path prefix that only the last configuration has
 LINK_FAULTS = ("reset", "cut", "stall_up", "stall_down", "delay")
 
@@ -48,7 +49,7 @@
         fault_tasks.append(asyncio.create_task(self._inject_statements()))
         await asyncio.gather(*fault_tasks)
         await self._check_recovery()
-        await self._check_configuration()
+        await self._check_return()
         await self._check_removal()
         stop.set()
         await asyncio.gather(*callers)
@@ -317,8 +318,16 @@
                     return
                 await asyncio.sleep(0.1)
 
-    async def _check_configuration(self) -> None:
-        """Publish a configuration; every daemon must serve the route that it adds."""
+    async def _check_return(self) -> None:
+        """Return the store from an older copy; daemons must take the next configuration."""
+        store = self._site.store
+        older = store.make_copy()
+        for number in range(LOST_WRITES):
+            store.put(f"notes/{number}", b"{}")
+        await asyncio.sleep(QUIET_S)
+        self._record_fault(f"store returns from {store.revision} to {older.revision}")
+        store.restore(older)
+        await asyncio.sleep(QUIET_S)
         publish(self._site, [f"s{index}" for index in range(SHARDS)], NEW_ROUTE)
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
         for daemon in self._site.daemons:
