A daemon that has read its reader in a new era goes on following it

What operators see: more calls to the store right after a return, growing with the fleet. Cause: a follower that had just listed its reader in the new era knew that reader's era from gossip only, which is up to some seconds old. It counted as behind, and the follower read the store until gossip arrived. Change: a successful read of a daemon sets the era known of it. Evidence: tests/engine/test_era.py::test_reader_is_followed_into_the_era_that_it_has_just_served fails without the change and passes with it.

--- a/hyssopproxy/engine/sync.py
+++ b/hyssopproxy/engine/sync.py
@@ -336,8 +336,9 @@
             fields = {"after_s": round(now - sync.lost_store_at, 2)}
             out.append(effect.Log("store_back", fields))
             sync.lost_store_at = None
-    elif _ip(sync.source) in state.members:
-        state.members[_ip(sync.source)].last_seen_at = now
+    elif (member := state.members.get(_ip(sync.source))) is not None:
+        member.last_seen_at = now
+        member.era = sync.era
     if is_renewed or has_changes:
         out.append(effect.AnswerFollowers())
 
--- a/tests/engine/test_era.py
+++ b/tests/engine/test_era.py
@@ -271,3 +271,15 @@
     stated, least_era, is_older, expected
 ):
     assert era.resolve(stated, least_era, 3, is_older) == expected
+
+
+def test_reader_is_followed_into_the_era_that_it_has_just_served():
+    """Guards against reads of the store by all daemons until gossip tells of the new era."""
+    world = make_world()
+    receive_gossip(world, 1, domain=worlds.HOME)
+    state = world.state
+    world.post(event.ChangesRead(state.sync.read_no, (), 101, era=1))
+    assert state.sync.source == "10.9.0.9:99"
+    list_changes(world, make_copy(world), 40)
+    assert state.sync.era == 2
+    assert sync.find_reader(state, world.now) == "10.9.0.9"
