Test: a member record of an older daemon counts as era 0

Cause: a variable in the test of gossip had a misleading name, and no test read a record without the field. Change: the round trip is asserted directly; a record without its last field is decoded. Measured: tests/engine/test_era.py passes, lint is clean.

--- a/tests/engine/test_era.py
+++ b/tests/engine/test_era.py
@@ -1,4 +1,5 @@
 import attrs
+import msgspec
 import pytest
 
 from hyssopproxy.engine import datagram
@@ -253,8 +254,14 @@
     sent = [item.message for item in world.effects if isinstance(item, effect.SendPeer)]
     gossip = [item for item in sent if isinstance(item, datagram.Gossip)][-1]
     assert gossip.sender.era == 1
-    older_fields = datagram.decode(datagram.encode(gossip))
-    assert older_fields.sender.era == 1
+    assert datagram.decode(datagram.encode(gossip)).sender.era == 1
+
+
+def test_record_of_an_older_daemon_counts_as_era_0():
+    record = datagram.MemberRecord("10.9.0.9", "domain-b", 1, 1, 1, 60, era=7)
+    fields = msgspec.msgpack.decode(datagram.encode(datagram.Gossip(record, ())))
+    fields[1].pop()
+    assert datagram.decode(msgspec.msgpack.encode(fields)).sender.era == 0
 
 
 @pytest.mark.parametrize(
